--- /dev/null
+++ b/src/logic.hpp
@@ -0,0 +1,163 @@
+// The interface of the decision module: what happened goes in, what to do comes out.
+// One Router is one instance. Note the events of a batch in order, then call settle once with the batch's
+// clock. The simulator's adapter (src/simhost) calls it today; the front and a control service are to call
+// the same.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace reedspindle {
+
+using Millis = double;
+
+struct MemberId {
+  std::string address;
+  auto operator<=>(const MemberId&) const = default;
+};
+struct OpId {
+  std::uint64_t number = 0;
+  auto operator<=>(const OpId&) const = default;
+};
+struct GroupId {
+  int number = 0;
+  auto operator<=>(const GroupId&) const = default;
+};
+struct OpTypeId {
+  int number = 0;
+  auto operator<=>(const OpTypeId&) const = default;
+};
+struct ZoneId {
+  int number = 0;
+  auto operator<=>(const ZoneId&) const = default;
+};
+struct TimerId {
+  std::int64_t number = 0;
+  auto operator<=>(const TimerId&) const = default;
+};
+struct SendNumber {
+  int number = 0;
+  auto operator<=>(const SendNumber&) const = default;
+};
+
+// What is handed over at start: names (docs/settings.md lists them) to numbers or words.
+using Values = std::map<std::string, std::variant<double, std::string>>;
+
+enum class MemberState { ready, draining, gone };
+enum class ListKind { changes, complete, saved, failed };
+enum class Ending {
+  acked,
+  errored,
+  turned_away_full,
+  timed_out,
+  connect_failed,
+  reset,
+  called_off,
+  never_sent,
+  turned_away_untouched
+};
+enum class Role { unknown, primary, replica };
+
+struct ListedMember {
+  MemberId member;
+  ZoneId zone;
+  int kind = 0;
+  GroupId group;
+  MemberState state = MemberState::ready;
+  double size = 1;
+  Millis up_since = 0;  // 0: long ago
+  bool primary = false;
+};
+
+// Positions are batch-clock times up to which a member has applied all commits; below 0: none given.
+struct Sighting {
+  Role role = Role::unknown;
+  Millis position = -1;
+  double busy = -1;  // share of its processors in use, below 0: none given
+};
+
+// Events.
+struct ListRead {
+  ListKind kind = ListKind::complete;
+  std::vector<ListedMember> members;
+};
+struct OpArrived {
+  OpId op;
+  OpTypeId type;
+  GroupId group;
+  std::string session;
+  Millis patience = 0;
+  Millis token_age = 0;  // since the commit of the session's last write; 0: none
+};
+struct SendEnded {
+  OpId op;
+  SendNumber send;
+  MemberId member;
+  Ending ending = Ending::acked;
+  Millis took = 0;
+  bool op_ended = false;
+  Sighting seen;
+};
+struct ProbeEnded {
+  MemberId member;
+  bool answered = false;
+  Millis took = 0;
+  Sighting seen;
+};
+struct OpGone {
+  OpId op;
+};
+struct TimerDue {
+  TimerId timer;
+};
+struct PeerSpoke {
+  int peer = 0;
+  std::string text;
+};
+using Event = std::variant<ListRead, OpArrived, SendEnded, ProbeEnded, OpGone, TimerDue, PeerSpoke>;
+
+// Decisions.
+struct Send {
+  OpId op;
+  MemberId member;
+  Millis time_out = 0;
+};
+struct CallOff {
+  OpId op;
+  SendNumber send;
+};
+struct BusyReply {
+  OpId op;
+  Millis come_back = 0;  // 0: no word on when
+};
+struct ErrorReply {
+  OpId op;
+};
+struct Wake {
+  TimerId timer;
+  Millis at = 0;
+};
+struct Probe {
+  MemberId member;
+};
+struct WatchList {};
+struct LogLine {
+  std::string text;
+};
+using Decision = std::variant<Send, CallOff, BusyReply, ErrorReply, Wake, Probe, WatchList, LogLine>;
+
+class Router {
+ public:
+  virtual ~Router() = default;
+  virtual void note(const Event& event) = 0;
+  virtual std::vector<Decision> settle(Millis now) = 0;
+};
+
+std::unique_ptr<Router> make_router(const Values& values, std::uint64_t seed);
+
+}  // namespace reedspindle
--- /dev/null
+++ b/src/simhost/main.cpp
@@ -0,0 +1,22 @@
+// The simulator's adapter: batches on standard input, replies on standard output.
+#include <iostream>
+#include <string>
+
+#include "simhost/wire.hpp"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  reedspindle::simhost::Host host;
+  std::string line;
+  for (long number = 1; std::getline(std::cin, line); ++number) {
+    try {
+      const std::string reply = host.take(line);
+      if (!reply.empty()) std::cout << reply << std::flush;
+    } catch (const reedspindle::simhost::Malformed& fault) {
+      std::cerr << "line " << number << ": " << fault.what() << '\n';
+      return 2;
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/simhost/wire.cpp
@@ -0,0 +1,383 @@
+#include "simhost/wire.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace reedspindle::simhost {
+namespace {
+
+using Json = nlohmann::json;
+constexpr double kNsPerMs = 1e6;
+
+const Json& field(const Json& line, std::size_t at) {
+  static const Json null;
+  return at < line.size() ? line[at] : null;
+}
+
+double number_or(const Json& value, double other) {
+  if (value.is_null()) return other;
+  if (value.is_boolean()) return value.get<bool>() ? 1 : 0;
+  if (!value.is_number()) throw Malformed("a number was expected, not " + value.dump());
+  return value.get<double>();
+}
+
+double needed(const Json& line, std::size_t at) {
+  if (field(line, at).is_null()) throw Malformed("value " + std::to_string(at) + " is missing");
+  return number_or(field(line, at), 0);
+}
+
+double ms(const Json& line, std::size_t at) { return number_or(field(line, at), 0) / kNsPerMs; }
+
+std::string word_or(const Json& value, const std::string& other) {
+  if (value.is_null()) return other;
+  if (!value.is_string()) throw Malformed("a text was expected, not " + value.dump());
+  return value.get<std::string>();
+}
+
+std::string needed_word(const Json& line, std::size_t at) {
+  if (field(line, at).is_null()) throw Malformed("value " + std::to_string(at) + " is missing");
+  return word_or(line[at], "");
+}
+
+std::uint64_t needed_id(const Json& line, std::size_t at) {
+  const Json& value = field(line, at);
+  if (!value.is_number_integer() || value < 0) throw Malformed("value " + std::to_string(at) + " is no id");
+  return value.get<std::uint64_t>();
+}
+
+std::string word_for(const std::string& wire) {
+  static const std::map<std::string, std::string> words = {
+      {"repeatable", "retryable"}, {"by_key", "tokened"},     {"once", "non-retryable"}, {"update", "write"},
+      {"latest", "current"},       {"own_writes", "session"}, {"recent", "bounded"},     {"loose", "any"},
+      {"cell", "group"},           {"reject", "turns_away"},  {"hold", "waits"},         {"silent", "none"},
+      {"client", "carried"},       {"router", "remembered"},  {"initial", "start"},      {"delayed", "late"},
+      {"pull", "probes"},          {"piggyback", "answers"}};
+  const auto found = words.find(wire);
+  return found == words.end() ? wire : found->second;
+}
+
+void put(Values& values, const std::string& name, const Json& value, double per_unit) {
+  if (value.is_string())
+    values[name] = word_for(value.get<std::string>());
+  else if (value.is_number() || value.is_boolean())
+    values[name] = number_or(value, 0) / per_unit;
+}
+
+struct Setting {
+  const char* wire;
+  const char* name;
+  double per_unit;
+};
+
+ListedMember listed(const Json& row) {
+  if (!row.is_array()) throw Malformed("a list entry is no array");
+  ListedMember member;
+  member.member = {needed_word(row, 0)};
+  member.zone = {static_cast<int>(number_or(field(row, 1), 0))};
+  member.kind = static_cast<int>(number_or(field(row, 2), 0));
+  member.group = {static_cast<int>(needed(row, 3))};
+  const std::string state = needed_word(row, 4);
+  if (state == "ready")
+    member.state = MemberState::ready;
+  else if (state == "draining")
+    member.state = MemberState::draining;
+  else if (state == "gone")
+    member.state = MemberState::gone;
+  else
+    throw Malformed("unknown state " + state);
+  member.size = number_or(field(row, 5), 1);
+  member.up_since = ms(row, 6);
+  member.primary = number_or(field(row, 7), 0) > 0;
+  return member;
+}
+
+Ending ending_of(const Json& line, std::size_t at) {
+  constexpr std::array<Ending, 9> endings = {
+      Ending::errored,    Ending::acked,          Ending::turned_away_full,
+      Ending::timed_out,  Ending::connect_failed, Ending::reset,
+      Ending::called_off, Ending::never_sent,     Ending::turned_away_untouched};
+  const double code = needed(line, at);
+  if (code < 0 || code >= static_cast<double>(endings.size()))
+    throw Malformed("unknown outcome " + line[at].dump());
+  return endings[static_cast<std::size_t>(code)];
+}
+
+Sighting from_report(const Json& load, double zero_ms) {
+  Sighting seen;
+  if (!load.is_object()) return seen;
+  if (load.contains("x0") && load["x0"].is_number())
+    seen.position = zero_ms + load["x0"].get<double>() * 1000;
+  if (load.contains("x1")) seen.role = number_or(load["x1"], 0) > 0 ? Role::primary : Role::replica;
+  if (load.contains("cpu")) seen.busy = number_or(load["cpu"], -1);
+  return seen;
+}
+
+std::string ns(Millis at) { return std::to_string(static_cast<long long>(std::ceil(at * kNsPerMs - 1e-3))); }
+
+std::string quoted(const std::string& value) {
+  return Json(value).dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+struct Writer {
+  std::string& out;
+  std::string instance;
+
+  void line(const char* name, std::initializer_list<std::string> values) {
+    out.append("[\"").append(name).append("\",").append(instance);
+    for (const std::string& value : values) out.append(1, ',').append(value);
+    out.append("]\n");
+  }
+  static std::string id(OpId op) { return std::to_string(op.number); }
+
+  void operator()(const Send& d) { line("CallOut", {id(d.op), ns(d.time_out), quoted(d.member.address)}); }
+  void operator()(const CallOff& d) { line("Retract", {id(d.op), std::to_string(d.send.number)}); }
+  void operator()(const BusyReply& d) { line("NotNow", {id(d.op), ns(d.come_back)}); }
+  void operator()(const ErrorReply& d) { line("FinishError", {id(d.op)}); }
+  void operator()(const Wake& d) { line("Defer", {std::to_string(d.timer.number), ns(d.at)}); }
+  void operator()(const Probe& d) { line("AskLoad", {quoted(d.member.address)}); }
+  void operator()(const WatchList&) { line("KeepInformed", {"true"}); }
+  void operator()(const LogLine& d) { line("WriteLog", {quoted(d.text)}); }
+};
+
+}  // namespace
+
+Values values_of(const Json& conf) {
+  static const std::vector<Setting> settings = {
+      {"az", "zone", 1},
+      {"nInstances", "instances", 1},
+      {"rank", "rank", 1},
+      {"quantum", "tick", kNsPerMs},
+      {"discovery", "list", 1},
+      {"weights", "sizes", 1},
+      {"ceilings.cancel", "allow.call_off", 1},
+      {"ceilings.connectTimeout", "allow.connect_time_out", kNsPerMs},
+      {"ceilings.maxAttempts", "allow.sends_per_op", 1},
+      {"ceilings.maxOpen", "allow.open_ops", 1},
+      {"ceilings.maxRetryAfter", "allow.longest_come_back", kNsPerMs},
+      {"ceilings.mayTell", "allow.peers", 1},
+      {"ceilings.probes", "allow.probes", 1},
+      {"ceilings.retryAfter", "allow.come_back", 1},
+      {"ceilings.secondCopies", "allow.second_copies", 1},
+      {"ceilings.streamsPerConn", "allow.sends_per_connection", 1},
+      {"costs.crossZone", "price.cross_zone", 1},
+      {"costs.waste", "price.waste", 1},
+      {"costs.probe", "price.probe", 1},
+      {"costs.peer", "price.peer", 1},
+      {"costs.lateFail", "price.late_fail", 1},
+      {"familyInfo.behind", "checks", 1},
+      {"familyInfo.commitWaits", "commit_waits", 1},
+      {"familyInfo.positions", "answers_carry_positions", 1},
+      {"familyInfo.roleListed", "list_role", 1},
+      {"familyInfo.tokens", "tokens", 1},
+      {"familyInfo.wait", "check_wait", kNsPerMs},
+      {"report.how", "report", 1},
+      {"rules.graceToAnswer", "rule.answer_slack", kNsPerMs},
+      {"rules.askWithin", "rule.ask_within", kNsPerMs},
+      {"rules.coldFrom", "rule.cold_from", 1},
+      {"rules.warmWithin", "rule.warm_within", kNsPerMs},
+      {"rules.stopSendingWithin", "rule.drain_grace", kNsPerMs},
+      {"rules.fallMultiple", "rule.fall_multiple", 1},
+      {"rules.fall", "rule.fall", kNsPerMs},
+      {"rules.droppedStayOpen", "rule.only_draining_binds", 1}};
+  static const std::vector<Setting> of_op_type = {{"aimStretch", "target_stretch", 1},
+                                                  {"goalTime", "latency_target", kNsPerMs},
+                                                  {"deadline", "op_timeout", kNsPerMs},
+                                                  {"effect", "effect", 1},
+                                                  {"keyScope", "token_scope", 1},
+                                                  {"lateValue", "late_value", 1},
+                                                  {"dedupWindow", "token_memory", kNsPerMs},
+                                                  {"importance", "value", 1}};
+
+  Values values;
+  if (!conf.is_object()) throw Malformed("the settings are no object");
+  for (const Setting& setting : settings) {
+    const Json* at = &conf;
+    std::string path = setting.wire;
+    for (std::size_t dot; at && (dot = path.find('.')) != std::string::npos; path = path.substr(dot + 1)) {
+      const auto inner = at->find(path.substr(0, dot));
+      at = inner != at->end() && inner->is_object() ? &*inner : nullptr;
+    }
+    if (at && at->contains(path)) put(values, setting.name, (*at)[path], setting.per_unit);
+  }
+  const Json types = conf.value("requestClasses", Json::array());
+  const Json family =
+      conf.contains("familyInfo") && conf["familyInfo"].is_object() ? conf["familyInfo"] : Json::object();
+  const Json needs = family.value("needsByClass", Json::array());
+  const Json bounds = family.value("oldestData", Json::array());
+  values["op_types"] = static_cast<double>(types.size());
+  for (std::size_t i = 0; i < types.size(); ++i) {
+    const std::string prefix = "op_type." + std::to_string(i) + ".";
+    for (const Setting& setting : of_op_type)
+      if (types[i].contains(setting.wire))
+        put(values, prefix + setting.name, types[i][setting.wire], setting.per_unit);
+    put(values, prefix + "needs", field(needs, i), 1);
+    put(values, prefix + "bound", field(bounds, i), kNsPerMs);
+  }
+  return values;
+}
+
+std::string Host::take(const std::string& line) {
+  if (line.find_first_not_of(" \t\r") == std::string::npos) return "";
+  Json parsed = Json::parse(line, nullptr, false);
+  if (parsed.is_discarded()) throw Malformed("bad JSON");
+  if (!parsed.is_array() || parsed.empty() || !parsed[0].is_string()) throw Malformed("no message name");
+  const std::string name = parsed[0].get<std::string>();
+  try {
+    if (name == "Frame") {
+      if (in_batch_) throw Malformed("Frame inside a batch");
+      now_ms_ = needed(parsed, 1) / kNsPerMs;
+      in_batch_ = true;
+      return "";
+    }
+    if (!in_batch_) throw Malformed(name + " outside a batch");
+    if (name == "Flush") return reply();
+    if (name == "Born")
+      born(parsed);
+    else if (name == "Manifest")
+      manifest(parsed);
+    else
+      event(name, parsed);
+  } catch (const Json::exception& fault) {
+    throw Malformed(name + ": " + fault.what());
+  }
+  return "";
+}
+
+void Host::touch(const std::string& name, Instance& instance) {
+  if (std::exchange(instance.touched, true)) return;
+  order_.push_back(name);
+}
+
+Host::Instance& Host::instance(const Json& line) {
+  const std::string name = needed_word(line, 1);
+  const auto found = instances_.find(name);
+  if (found == instances_.end()) throw Malformed(line[0].get<std::string>() + " for unborn instance " + name);
+  touch(name, found->second);
+  return found->second;
+}
+
+void Host::born(const Json& line) {
+  const std::string name = needed_word(line, 1);
+  const std::uint64_t seed = needed_id(line, 2);
+  const Json& conf = field(line, 3);
+  std::erase(order_, name);
+  Instance& fresh = instances_[name] = Instance{};
+  const Values values = values_of(conf);
+  if (conf.contains("familyInfo") && conf["familyInfo"].is_object()) {
+    fresh.zero_ms = number_or(conf["familyInfo"].value("positionZero", Json(0)), 0) / kNsPerMs;
+  }
+  touch(name, fresh);
+  try {
+    fresh.router = make_router(values, seed);
+  } catch (const std::exception& fault) {
+    fresh.fault = fault.what();
+  }
+}
+
+void Host::manifest(const Json& line) {
+  const double number = needed(line, 1);
+  if (number < 0 || number > 15) throw Malformed("list number out of range");
+  if (!field(line, 2).is_array()) throw Malformed("a list without entries");
+  std::vector<ListedMember> members;
+  for (const Json& row : line[2]) members.push_back(listed(row));
+  lists_[static_cast<int>(number)] = std::move(members);
+}
+
+Event Host::membership(const Json& line) const {
+  static const std::map<std::string, ListKind> kinds = {{"INCREMENTAL", ListKind::changes},
+                                                        {"FULL", ListKind::complete},
+                                                        {"SAVED", ListKind::saved},
+                                                        {"FAILED", ListKind::failed}};
+  const auto kind = kinds.find(needed_word(line, 2));
+  if (kind == kinds.end()) throw Malformed("unknown list kind " + line[2].dump());
+  ListRead read{kind->second, {}};
+  if (read.kind != ListKind::failed) {
+    const auto list = lists_.find(static_cast<int>(needed(line, 4)));
+    if (list == lists_.end()) throw Malformed("unknown list number " + line[4].dump());
+    read.members = list->second;
+  }
+  return read;
+}
+
+Event Host::result(const Instance& at, const Json& line) const {
+  SendEnded ended;
+  ended.op = {needed_id(line, 2)};
+  ended.send = {static_cast<int>(needed(line, 3))};
+  ended.member = {needed_word(line, 4)};
+  ended.ending = ending_of(line, 5);
+  ended.took = ms(line, 6);
+  ended.op_ended = number_or(field(line, 7), 0) > 0;
+  ended.seen = from_report(field(line, 9), at.zero_ms);
+  const auto note = static_cast<long long>(number_or(field(line, 8), 0));
+  if (note > 0) {
+    ended.seen.role = note % 4 == 1 ? Role::primary : note % 4 == 2 ? Role::replica : Role::unknown;
+    if (note / 4 > 0) ended.seen.position = at.zero_ms + static_cast<double>(note / 4);
+  }
+  return ended;
+}
+
+void Host::event(const std::string& name, const Json& line) {
+  if (name == "Detach") {
+    const std::string gone = needed_word(line, 1);
+    if (instances_.erase(gone) == 0) throw Malformed("Detach for unborn instance " + gone);
+    std::erase(order_, gone);
+    return;
+  }
+  static const std::vector<std::string> known = {"Membership", "Submit", "Accepted", "Result",
+                                                 "Expired",    "Due",    "Checked",  "PeerData"};
+  if (std::find(known.begin(), known.end(), name) == known.end()) throw Malformed("unknown event " + name);
+  Instance& at = instance(line);
+  if (name == "Accepted" || !at.router) return;  // streams are not used by this kind of service
+  Event noted;
+  if (name == "Membership") {
+    noted = membership(line);
+  } else if (name == "Submit") {
+    OpArrived op;
+    op.op = {needed_id(line, 2)};
+    op.token_age = number_or(field(line, 3), 0);
+    op.session = word_or(field(line, 5), "");
+    op.group = {static_cast<int>(needed(line, 6))};
+    op.patience = needed(line, 7) / kNsPerMs;
+    op.type = {static_cast<int>(needed(line, 9))};
+    noted = op;
+  } else if (name == "Result") {
+    noted = result(at, line);
+  } else if (name == "Expired") {
+    noted = OpGone{{needed_id(line, 2)}};
+  } else if (name == "Due") {
+    noted = TimerDue{{static_cast<std::int64_t>(needed(line, 2))}};
+  } else if (name == "Checked") {
+    const bool answered = needed(line, 3) == 1;
+    const Sighting seen = answered ? from_report(field(line, 5), at.zero_ms) : Sighting{};
+    noted = ProbeEnded{{needed_word(line, 2)}, answered, ms(line, 4), seen};
+  } else {
+    noted = PeerSpoke{static_cast<int>(needed(line, 2)), word_or(field(line, 3), "")};
+  }
+  try {
+    at.router->note(noted);
+  } catch (const std::exception& fault) {
+    if (at.fault.empty()) at.fault = fault.what();
+  }
+}
+
+std::string Host::reply() {
+  std::string out;
+  for (const std::string& name : order_) {
+    Instance& at = instances_.at(name);
+    at.touched = false;
+    Writer writer{out, quoted(name)};
+    try {
+      if (!at.fault.empty()) throw std::runtime_error(at.fault);
+      for (const Decision& decision : at.router->settle(now_ms_)) std::visit(writer, decision);
+    } catch (const std::exception& fault) {
+      writer.line("Die", {quoted(fault.what())});
+    }
+  }
+  order_.clear();
+  in_batch_ = false;
+  return out + "[\"Finished\"]\n";
+}
+
+}  // namespace reedspindle::simhost
--- /dev/null
+++ b/src/simhost/wire.hpp
@@ -0,0 +1,54 @@
+// Between the simulator's wire and the module's interface: words, units and numbered lists. It only
+// translates.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "logic.hpp"
+
+namespace reedspindle::simhost {
+
+struct Malformed : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Host {
+ public:
+  // Takes one line; at the end of a batch it returns the whole reply, else nothing. Throws Malformed.
+  std::string take(const std::string& line);
+
+ private:
+  using Json = nlohmann::json;
+
+  struct Instance {
+    std::unique_ptr<Router> router;
+    double zero_ms = 0;
+    bool touched = false;
+    std::string fault;
+  };
+
+  void born(const Json& line);
+  void manifest(const Json& line);
+  void event(const std::string& name, const Json& line);
+  Event membership(const Json& line) const;
+  Event result(const Instance& at, const Json& line) const;
+  Instance& instance(const Json& line);
+  void touch(const std::string& name, Instance& instance);
+  std::string reply();
+
+  bool in_batch_ = false;
+  double now_ms_ = 0;
+  std::map<std::string, Instance> instances_;
+  std::vector<std::string> order_;  // instances with an event in this batch, by first event
+  std::map<int, std::vector<ListedMember>> lists_;
+};
+
+// The settings of Born under the module's names (times in ms).
+Values values_of(const nlohmann::json& conf);
+
+}  // namespace reedspindle::simhost
