--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -96,6 +96,7 @@
   Millis probe_out = kNever, next_probe = kNever;
   Millis turned_away_need = std::numeric_limits<double>::infinity(), turned_away_at = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
+  Millis rest = 0, rest_until = kNever;
   double limit = 0;
   int out = 0, long_out = 0;
   long turn = 0;
@@ -201,7 +202,15 @@
     if (ended.ending == Ending::reset || ended.ending == Ending::connect_failed) bad(member);
     if (ended.ending == Ending::acked || ended.ending == Ending::timed_out) pace(member, type, ended.took);
     if (ended.ending == Ending::acked) member.acked.push_back(now_);
-    if (ended.ending == Ending::turned_away_full) member.limit = std::max(floor(), member.limit * 0.7);
+    if (ended.ending == Ending::acked) member.rest = 0;
+    if (ended.ending == Ending::turned_away_full || ended.ending == Ending::errored) {
+      // Guards against a member that turns ops away faster than others work and so draws ever more of them:
+      // it rests, longer each time (25 ms is a few batches, 800 ms the pace of four probes), until it acks
+      // something again.
+      member.limit = std::max(floor(), member.limit * 0.85);
+      if (now_ >= member.rest_until) member.rest = std::clamp(member.rest * 2, 25.0, 800.0);
+      member.rest_until = now_ + member.rest;
+    }
     if (ended.ending == Ending::turned_away_untouched && found != ops_.end()) {
       if (type.needs == Needs::write) member.replica_at = now_;
       member.turned_away_need = std::min(need(found->second, type), member.turned_away_need);
@@ -347,7 +356,9 @@
     return member.listed || !bound_by_gone;
   }
 
-  bool usable(const Member& member) const { return sendable(member) && !silent(member) && !overdue(member); }
+  bool usable(const Member& member) const {
+    return sendable(member) && now_ >= member.rest_until && !silent(member) && !overdue(member);
+  }
 
   // The share of its capacity that a cold member has at least.
   double warmth(const Member& member) const {
