--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -292,8 +292,8 @@
     if (member.paces.size() < 10) return;
     double mean = 0;
     for (double pace : member.paces) mean += pace / static_cast<double>(member.paces.size());
-    if (mean > 0.45) member.limit = std::max(floor(), member.limit * 0.85);
-    if (mean < 0.35 && member.out + 1 >= member.limit * 0.7) member.limit += 1;
+    if (mean > 0.35) member.limit = std::max(floor(), member.limit * 0.85);
+    if (mean < 0.25 && member.out + 1 >= member.limit * 0.7) member.limit += 1;
     member.paces.clear();
   }
 
