--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -197,7 +197,8 @@
     if (answered) {
       good(member);
       const bool commit = ended.ending == Ending::acked && type.needs == Needs::write;
-      see(member, ended.seen, now_, commit);
+      const bool dated = ended.seen.role == Role::primary && ended.seen.position >= 0;
+      see(member, ended.seen, dated ? ended.seen.position : now_, commit);
     }
     if (ended.ending == Ending::reset || ended.ending == Ending::connect_failed) bad(member);
     if (ended.ending == Ending::acked || ended.ending == Ending::timed_out) pace(member, type, ended.took);
@@ -345,7 +346,7 @@
   // Guards against members that hang, vanish or are cut off: a probe is answered beside the queue within a
   // few milliseconds, so an overdue member whose probe stays out for 50 ms is silent, not busy.
   bool silent(const Member& member) const {
-    return down(member) || (overdue(member) && member.probe_out != kNever && now_ - member.probe_out > 50);
+    return down(member) || (member.probe_out > member.last_good && now_ - member.probe_out > 50);
   }
 
   bool down(const Member& member) const { return member.last_bad > member.last_good; }
@@ -483,7 +484,11 @@
         op.sends < catalog_.number("allow.sends_per_op", 1) &&
         (!ran || type.effect == Effect::retryable ||
          (type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50));
-    const Millis expected = quantile(latencies_[op.type.number], 0.25, 0);
+    // What can't be answered in time by the usual latency is ended. Where a client can't be told when to come
+    // back it asks again at once, so there an op is held as long as the quicker quarter of answers could
+    // still make it.
+    const double hope = catalog_.number("allow.come_back", 0) > 0 ? 0.5 : 0.25;
+    const Millis expected = quantile(latencies_[op.type.number], hope, 0);
     const Millis slack = 2 * catalog_.number("tick", 5);
     if (!may_send || now_ + std::max(expected, slack) > useful_until(op, type)) {
       const bool harmless =
