Count the latency target from the client's first try, read off its patience

Cause: repeats that could no longer earn anything took the room of first tries (2 to 3 tries an op under overload). Could harm where clients of one op type differ in patience by themselves.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -32,7 +32,7 @@
   Needs needs = Needs::write;
   bool group_tokens = true;
   bool long_work = false;
-  Millis target = 0, bound = 0, token_memory = 0;
+  Millis target = 0, op_timeout = 0, bound = 0, token_memory = 0;
   double late_value = 0;
 };
 
@@ -51,6 +51,7 @@
       if (needs == "current") type.needs = Needs::current;
       type.group_tokens = word(at + "token_scope", "group") != "all";
       type.target = number(at + "latency_target", 1000);
+      type.op_timeout = number(at + "op_timeout", 0);
       type.bound = number(at + "bound", 0);
       type.token_memory = number(at + "token_memory", 0);
       type.late_value = number(at + "late_value", 0);
@@ -106,6 +107,7 @@
 struct Flight {
   MemberId member;
   OpTypeId type;
+  std::string session;
   Millis sent = 0;
   bool called_off = false, want_call_off = false;
 };
@@ -115,7 +117,8 @@
 struct Op {
   OpTypeId type;
   GroupId group;
-  Millis arrived = 0, end = 0, token = kNever;
+  std::string session;
+  Millis arrived = 0, wanted_by = 0, end = 0, token = kNever;
   Millis may_have_run = kNever;  // when the first send went out that may have run
   int sends = 0, out = 0;
   Want want = Want::hold;
@@ -173,20 +176,39 @@
     op.group = arrived.group;
     op.arrived = now_;
     op.end = now_ + arrived.patience;
+    op.wanted_by = now_ + type_of(op.type).target - waited(arrived);
     // A millisecond to the safe side: positions are rounded down, ages may be rounded either way.
     if (arrived.token_age > 0) op.token = now_ - std::floor(arrived.token_age) + 1;
+    op.session = arrived.session;
+    op.token = std::max(op.token, remembered_floor_);
     if (const auto mine = remembered_.find(arrived.session); mine != remembered_.end())
       op.token = std::max(op.token, mine->second);
-    sessions_[arrived.op] = arrived.session;
     ops_[arrived.op] = op;
   }
 
+  // How long the client has been asking already, the latency target running since its first try. A try is
+  // given up after a fixed part of the op timeout, or when that runs out: patience under the usual is what is
+  // left of it. Guards against repeats crowding out first tries. Harm: where clients differ in patience, the
+  // hasty ones are ended.
+  Millis waited(const OpArrived& arrived) {
+    const OpType& type = type_of(arrived.type);
+    std::deque<Millis>& last = patiences_[arrived.type.number];
+    last.push_back(arrived.patience);
+    if (last.size() > 64) last.pop_front();
+    const Millis usual = quantile(last, 0.75, arrived.patience);
+    // Patience varies by a few milliseconds of network; 30 is well above that and well below any latency
+    // target.
+    if (arrived.patience < usual - 30) return std::max(0.0, type.op_timeout - arrived.patience);
+    return arrived.repeat ? std::clamp(type.op_timeout - usual, 0.0, type.target) : 0;
+  }
+
   void learn(const SendEnded& ended) {
     Member& member = members_[ended.member];
     const auto flight = flights_.find({ended.op, ended.send});
     if (flight == flights_.end()) return;
     const OpType& type = type_of(flight->second.type);
     const Millis sent = flight->second.sent;
+    if (ended.ending == Ending::acked) remember(flight->second.session, ended, type);
     flights_.erase(flight);
     --member.out;
     if (type.long_work) --member.long_out;
@@ -220,9 +242,8 @@
     if (found == ops_.end()) return;
     Op& op = found->second;
     --op.out;
-    if (ended.ending == Ending::acked) remember(ended, type);
     if (ended.op_ended) {
-      forget(ended.op);
+      ops_.erase(found);
       return;
     }
     const bool proven_not_run =
@@ -239,7 +260,7 @@
     see(member, ended.seen, ended.seen.position, false);
   }
 
-  void learn(const OpGone& gone) { forget(gone.op); }
+  void learn(const OpGone& gone) { ops_.erase(gone.op); }
   void learn(const TimerDue&) { armed_ = kNever; }
   void learn(const PeerSpoke&) {}
 
@@ -256,11 +277,19 @@
       member.turned_away_need = std::numeric_limits<double>::infinity();
   }
 
-  void remember(const SendEnded& ended, const OpType& type) {
+  // The design leaves open how long tokens are kept. All are, but when there are many the old half is folded
+  // into one token that binds every session: replicas have long applied it, unless they are far behind and
+  // not to be read.
+  void remember(const std::string& session, const SendEnded& ended, const OpType& type) {
     if (type.needs != Needs::write || ended.seen.position < 0 || catalog_.word("tokens", "") != "remembered")
       return;
-    Millis& mine = remembered_[sessions_[ended.op]];
+    Millis& mine = remembered_.try_emplace(session, kNever).first->second;
     mine = std::max(mine, ended.seen.position);
+    if (remembered_.size() < 10000) return;
+    std::deque<Millis> all;
+    for (const auto& [name, token] : remembered_) all.push_back(token);
+    remembered_floor_ = std::max(remembered_floor_, quantile(all, 0.5, kNever));
+    std::erase_if(remembered_, [this](const auto& item) { return item.second <= remembered_floor_; });
   }
 
   void good(Member& member) {
@@ -461,7 +490,7 @@
 
   // Until when an answer is of use.
   static Millis useful_until(const Op& op, const OpType& type) {
-    return type.late_value > 0 ? op.end : std::min(op.end, op.arrived + type.target);
+    return type.late_value > 0 ? op.end : std::min(op.end, op.wanted_by);
   }
 
   void decide_ops() {
@@ -507,11 +536,6 @@
     member.turn = ++turn_;
   }
 
-  void forget(OpId op) {
-    ops_.erase(op);
-    sessions_.erase(op);
-  }
-
   // ---- the list ----
 
   void decide_list() {
@@ -546,7 +570,7 @@
     for (auto& [id, op] : ops_) {
       if (op.want == Want::send) {
         out.push_back(Send{id, op.to, op.end - now_});
-        flights_[{id, {op.sends}}] = {op.to, op.type, now_, false, false};
+        flights_[{id, {op.sends}}] = {op.to, op.type, op.session, now_, false, false};
         ++op.sends;
         ++op.out;
       } else if (op.want != Want::hold) {
@@ -557,7 +581,7 @@
         ended.push_back(id);
       }
     }
-    for (const OpId id : ended) forget(id);
+    for (const OpId id : ended) ops_.erase(id);
     const Millis wake = now_ + (ops_.empty() ? 50 : 10);
     if (armed_ == kNever || wake < armed_) {
       out.push_back(Wake{{0}, wake});
@@ -579,9 +603,10 @@
   std::vector<Event> noted_;
   std::map<MemberId, Member> members_;
   std::map<OpId, Op> ops_;
-  std::map<OpId, std::string> sessions_;
   std::map<std::string, Millis> remembered_;
+  Millis remembered_floor_ = kNever;
   std::map<std::pair<OpId, SendNumber>, Flight> flights_;
+  std::map<std::ptrdiff_t, std::deque<Millis>> patiences_;  // of the last ops, by op type
   std::map<std::ptrdiff_t, std::deque<Millis>> latencies_;  // of the last answers, by op type
 };
 
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -93,6 +93,7 @@
   std::string session;
   Millis patience = 0;
   Millis token_age = 0;  // since the commit of the session's last write; 0: none
+  bool repeat = false;   // the client says that it has asked before
 };
 struct SendEnded {
   OpId op;
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -341,6 +341,7 @@
     op.group = {static_cast<int>(needed(line, 6))};
     op.patience = needed(line, 7) / kNsPerMs;
     op.type = {static_cast<int>(needed(line, 9))};
+    op.repeat = (static_cast<long long>(number_or(field(line, 10), 0)) & 2) != 0;
     noted = op;
   } else if (name == "Result") {
     noted = result(at, line);
