--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,7 +33,11 @@
   bool group_tokens = true;
   bool long_work = false;
   Millis target = 0, op_timeout = 0, bound = 0, token_memory = 0;
-  double late_value = 0;
+  double value = 1, late_value = 0;
+
+  bool primary_only() const { return needs == Needs::write || needs == Needs::current; }
+  // Value for the time it takes, for which the latency target stands: both are known before anything has run.
+  double density() const { return value / std::max(1.0, target); }
 };
 
 // What the deployment states at start.
@@ -54,6 +58,7 @@
       type.op_timeout = number(at + "op_timeout", 0);
       type.bound = number(at + "bound", 0);
       type.token_memory = number(at + "token_memory", 0);
+      type.value = number(at + "value", 1);
       type.late_value = number(at + "late_value", 0);
       op_types.push_back(type);
     }
@@ -131,6 +136,8 @@
       : catalog_(values), chance_(static_cast<std::minstd_rand::result_type>(seed)) {
     instances_ = std::max(1.0, catalog_.number("instances", 1));
     stores_check_ = catalog_.word("checks", "none") != "none";
+    for (const OpType& type : catalog_.op_types)
+      if (type.primary_only()) primary_density_ = std::max(primary_density_, type.density());
     may_probe_ = catalog_.number("allow.probes", 0) > 0;
   }
 
@@ -461,7 +468,7 @@
   const Member* choose(const Op& op, const OpType& type) const {
     const Member* primary = primary_of(op.group);
     const bool primary_usable = primary && usable(*primary);
-    if (type.needs == Needs::write || type.needs == Needs::current)
+    if (type.primary_only())
       return primary_usable && has_room(*primary, type.long_work, 1) ? primary : nullptr;
     const Member* best = nullptr;
     std::pair<int, long> best_rank;
@@ -484,8 +491,11 @@
       if (!best || rank < best_rank) best = &member, best_rank = rank;
     }
     if (best) return best;
-    // A primary takes reads only into half its limit: the rest is kept for what only it can do.
-    return primary_usable && has_room(*primary, type.long_work, 0.5) ? primary : nullptr;
+    // A primary takes reads into half its limit, and up to 0.8 of it as they come to be of as much value for
+    // their time as what only it can do: the rest is kept for that. Guards the primary when replicas fall
+    // behind.
+    const double part = 0.5 + 0.3 * std::min(1.0, type.density() / primary_density_);
+    return primary_usable && has_room(*primary, type.long_work, part) ? primary : nullptr;
   }
 
   // Until when an answer is of use.
@@ -594,7 +604,7 @@
 
   Catalog catalog_;
   std::minstd_rand chance_;
-  double instances_ = 1;
+  double instances_ = 1, primary_density_ = 1e-9;
   bool stores_check_ = false, may_probe_ = false;
   Millis now_ = 0, armed_ = kNever;
   Millis next_watch_ = kNever, watch_pause_ = 0;
