--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -523,11 +523,9 @@
         op.sends < catalog_.number("allow.sends_per_op", 1) &&
         (!ran || type.effect == Effect::retryable ||
          (type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50));
-    // What can't be answered in time by the usual latency is ended. Where a client can't be told when to come
-    // back it asks again at once, so there an op is held as long as the quicker quarter of answers could
-    // still make it.
-    const double hope = catalog_.number("allow.come_back", 0) > 0 ? 0.5 : 0.25;
-    const Millis expected = quantile(latencies_[op.type.number], hope, 0);
+    // What can't be answered in time by the usual latency is ended: by the median, so that even odds are
+    // still tried.
+    const Millis expected = quantile(latencies_[op.type.number], 0.5, 0);
     const Millis slack = 2 * catalog_.number("tick", 5);
     if (!may_send || now_ + std::max(expected, slack) > useful_until(op, type)) {
       const bool harmless =
