--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -193,19 +193,27 @@
     ops_[arrived.op] = op;
   }
 
-  // How long the client has been asking already, the latency target running since its first try. A try is
-  // given up after a fixed part of the op timeout, or when that runs out: patience under the usual is what is
-  // left of it. Guards against repeats crowding out first tries. Harm: where clients differ in patience, the
-  // hasty ones are ended.
+  // How long the client has been asking already, the latency target running since its first try. A first try
+  // is given up after a fixed part of the op timeout, so first tries share one patience; any other patience
+  // is what is left of the op timeout. Where no patience is common to a quarter of the last ops, or hardly
+  // any has come, nothing is concluded. Guards against repeats crowding out first tries. Harm: clients whose
+  // patience differs by itself.
   Millis waited(const OpArrived& arrived) {
     const OpType& type = type_of(arrived.type);
     std::deque<Millis>& last = patiences_[arrived.type.number];
     last.push_back(arrived.patience);
     if (last.size() > 64) last.pop_front();
-    const Millis usual = quantile(last, 0.75, arrived.patience);
-    // Patience varies by a few milliseconds of network; 30 is well above that and well below any latency
-    // target.
-    if (arrived.patience < usual - 30) return std::max(0.0, type.op_timeout - arrived.patience);
+    std::deque<Millis> sorted = last;
+    std::sort(sorted.begin(), sorted.end());
+    std::size_t common = 0;
+    Millis usual = 0;
+    for (std::size_t low = 0, high = 0; high < sorted.size(); ++high) {
+      while (sorted[high] - sorted[low] > 10) ++low;  // the network varies them by a few milliseconds
+      if (high - low + 1 > common) common = high - low + 1, usual = sorted[high];
+    }
+    if (common < 3 || 4 * common < sorted.size()) return 0;
+    // 30 is well above what the network varies and well below any latency target.
+    if (std::abs(arrived.patience - usual) > 30) return std::max(0.0, type.op_timeout - arrived.patience);
     return arrived.repeat ? std::clamp(type.op_timeout - usual, 0.0, type.target) : 0;
   }
 
@@ -524,8 +532,9 @@
         (!ran || type.effect == Effect::retryable ||
          (type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50));
     // What can't be answered in time by the usual latency is ended: by the median, so that even odds are
-    // still tried.
-    const Millis expected = quantile(latencies_[op.type.number], 0.5, 0);
+    // still tried. Never by more than half the latency target: samples of a bad time would end every op, and
+    // with none sent no better sample could come. Guards against locking itself out after any slow spell.
+    const Millis expected = std::min(quantile(latencies_[op.type.number], 0.5, 0), type.target / 2);
     const Millis slack = 2 * catalog_.number("tick", 5);
     if (!may_send || now_ + std::max(expected, slack) > useful_until(op, type)) {
       const bool harmless =
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -71,7 +71,7 @@
 }
 
 // "list complete a:ready b:draining:9000" (address, state, up since), "op 1 type 2 patience 400 token 50",
-// "ended 1/0 a acked replica 9900", "probed b replica 9950", "unprobed b", "gone 1", "wake".
+// "ended 1/0 a acked replica 9900 took 40", "probed b replica 9950", "unprobed b", "gone 1", "wake".
 Event event_of(std::istream& line, const std::string& word) {
   std::string text, rest;
   char slash;
@@ -107,7 +107,7 @@
     ended.op_ended = ended.ending == Ending::acked;
     ended.seen.role = role_of(rest);
     if (!(line >> ended.seen.position)) ended.seen.position = -1;
-    ended.took = 40;
+    if (!(line >> text >> ended.took)) ended.took = 40;
     return ended;
   }
   if (word == "probed") {
