Sends given up on count as out for a usual latency more

Cause: on a crowded primary a send that timed out freed its place at once while its work went on. Should also hold on stores that stop called-off work, at the price of a short pause; helps cold members. Could harm: a healthy member after a burst of call-offs.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -96,7 +96,8 @@
   std::deque<double> paces;    // latency over latency target of the last answers, since the limit last moved
   std::deque<Millis> latencies;  // of the last answers of short work
   std::deque<Millis> sent, acked;
-  Millis proven = kNever;  // a position once shown holds
+  std::deque<Millis> ghosts;  // until when sends given up on may still be running there
+  Millis proven = kNever;     // a position once shown holds
   Millis primary_at = kNever, replica_at = kNever;
   Millis last_good = kNever, last_bad = kNever, down_since = kNever, cold_since = kNever;
   Millis probe_out = kNever, next_probe = kNever;
@@ -223,6 +224,7 @@
     if (flight == flights_.end()) return;
     const OpType& type = type_of(flight->second.type);
     const Millis sent = flight->second.sent;
+    const OpTypeId type_id = flight->second.type;
     if (ended.ending == Ending::acked) remember(flight->second.session, ended, type);
     flights_.erase(flight);
     --member.out;
@@ -240,6 +242,10 @@
     if (ended.ending == Ending::reset || ended.ending == Ending::connect_failed) bad(member);
     if (ended.ending == Ending::acked || ended.ending == Ending::timed_out) pace(member, type, ended.took);
     if (ended.ending == Ending::acked) member.acked.push_back(now_);
+    // Guards against taking a member for free whose work goes on after a time-out or call-off: what was given
+    // up on counts as out for as long again as such ops usually take.
+    if (ended.ending == Ending::timed_out || ended.ending == Ending::called_off)
+      member.ghosts.push_back(now_ + quantile(latencies_[type_id.number], 0.5, type.target / 4));
     if (ended.ending == Ending::acked) member.rest = 0;
     if (ended.ending == Ending::turned_away_full || ended.ending == Ending::errored) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them:
@@ -367,6 +373,7 @@
     for (auto& [id, member] : members_) {
       const Millis fall = catalog_.number("rule.fall", 1000);
       while (!member.sent.empty() && member.sent.front() < now_ - fall) member.sent.pop_front();
+      std::erase_if(member.ghosts, [this](Millis until) { return until <= now_; });
       while (!member.acked.empty() && member.acked.front() < now_ - fall) member.acked.pop_front();
       const bool known_fresh = !member.samples.empty() && now_ - member.samples.back().seen < kProbePeriod;
       member.want_probe = may_probe_ && member.listed && member.probe_out == kNever &&
@@ -418,7 +425,8 @@
   // size answered us.
   bool has_room(const Member& member, bool long_work, double part) const {
     const double share = warmth(member);
-    if (member.out >= std::max(1.0, member.limit * part * share)) return false;
+    const double out = member.out + static_cast<double>(member.ghosts.size());
+    if (out >= std::max(1.0, member.limit * part * share)) return false;
     if (share >= 1) return true;
     if (long_work) return false;
     std::size_t carried = 0;
