Ops past their latency target go only where half the limit is free

Should also hold for repeats that can still earn something late. Could harm: late ops of much value on a busy member.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -484,13 +484,15 @@
   const Member* choose(const Op& op, const OpType& type) const {
     const Member* primary = primary_of(op.group);
     const bool primary_usable = primary && usable(*primary);
+    // An op past its latency target is of little value: it goes only where half the limit is free.
+    const double spare = now_ > op.wanted_by ? 0.5 : 1;
     if (type.primary_only())
-      return primary_usable && has_room(*primary, type.long_work, 1) ? primary : nullptr;
+      return primary_usable && has_room(*primary, type.long_work, spare) ? primary : nullptr;
     const Member* best = nullptr;
     std::pair<int, long> best_rank;
     for (const auto& [id, member] : members_) {
       if (member.entry.group != op.group || &member == primary || !usable(member)) continue;
-      if (!has_room(member, type.long_work, 1)) continue;
+      if (!has_room(member, type.long_work, spare)) continue;
       int tier = passes(member, op, type) || likely(member, op, type) ? 0 : 2;
       // Beyond the threshold, but proven all the same: before a busy primary is asked, data that the op
       // allows will do.
@@ -511,7 +513,7 @@
     // their time as what only it can do: the rest is kept for that. Guards the primary when replicas fall
     // behind.
     const double part = 0.5 + 0.3 * std::min(1.0, type.density() / primary_density_);
-    return primary_usable && has_room(*primary, type.long_work, part) ? primary : nullptr;
+    return primary_usable && has_room(*primary, type.long_work, part * spare) ? primary : nullptr;
   }
 
   // Until when an answer is of use.
