Held ops ordered by what their client still wants; long work's latency expected too

Cause: the order still counted the latency target from the arrival of a repeat, and long work was sent on however little of its client's patience was left.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -332,13 +332,11 @@
   // grows below 0.35. Guards against full queues, neighbours, slow members; when all are slow the floor keeps
   // work going.
   void pace(Member& member, const OpType& type, Millis took) {
-    if (!type.long_work) {
-      member.latencies.push_back(took);
-      if (member.latencies.size() > 16) member.latencies.pop_front();
-      std::deque<Millis>& mine = latencies_[&type - catalog_.op_types.data()];
-      mine.push_back(took);
-      if (mine.size() > 32) mine.pop_front();
-    }
+    std::deque<Millis>& mine = latencies_[&type - catalog_.op_types.data()];
+    mine.push_back(took);
+    if (mine.size() > 32) mine.pop_front();
+    if (!type.long_work) member.latencies.push_back(took);
+    if (member.latencies.size() > 16) member.latencies.pop_front();
     member.paces.push_back(took / std::max(1.0, type.target));
     if (member.paces.size() < 10) return;
     double mean = 0;
@@ -527,8 +525,7 @@
       op.want = Want::hold;
       if (op.out > 0) continue;
       const OpType& type = type_of(op.type);
-      held.emplace_back(op.arrived + type.target + (now_ > op.arrived + type.target ? type.target * 10 : 0),
-                        id);
+      held.emplace_back(op.wanted_by + (now_ > op.wanted_by ? type.op_timeout : 0), id);
     }
     std::sort(held.begin(), held.end());
     for (const auto& [by, id] : held) decide(ops_[id]);
