Limits round to the nearest and start at a share of eight for any number of fronts

Cause: with six fronts each limit of 1.3 let two ops out and started at two, twelve at a member of three cores.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -169,7 +169,7 @@
       for (auto& [id, member] : members_) member.listed = false;
     for (const ListedMember& entry : read.members) {
       Member& member = members_[entry.member];
-      if (member.limit == 0) member.limit = std::max(2.0, 8 / instances_);
+      if (member.limit == 0) member.limit = std::max(1.0, 8 / instances_);
       member.entry = entry;
       member.listed = entry.state != MemberState::gone;
       if (entry.state == MemberState::draining) member.drained = true;
@@ -424,7 +424,7 @@
   bool has_room(const Member& member, bool long_work, double part) const {
     const double share = warmth(member);
     const double out = member.out + static_cast<double>(member.ghosts.size());
-    if (out >= std::max(1.0, member.limit * part * share)) return false;
+    if (out + 0.5 > std::max(1.0, member.limit * part * share)) return false;
     if (share >= 1) return true;
     if (long_work) return false;
     std::size_t carried = 0;
