End held ops by the upper quartile of latency, at most 0.6 of the latency target

Cause: the earliest target goes first, so under overload ops were sent with just the median left and half of those sends came to nothing.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -538,10 +538,11 @@
         op.sends < catalog_.number("allow.sends_per_op", 1) &&
         (!ran || type.effect == Effect::retryable ||
          (type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50));
-    // What can't be answered in time by the usual latency is ended: by the median, so that even odds are
-    // still tried. Never by more than half the latency target: samples of a bad time would end every op, and
-    // with none sent no better sample could come. Guards against locking itself out after any slow spell.
-    const Millis expected = std::min(quantile(latencies_[op.type.number], 0.5, 0), type.target / 2);
+    // What can't be answered in time by the usual latency is ended: by the upper quartile, for where ops wait
+    // for room, another makes better use of it. Never by more than 0.6 of the latency target: samples of a
+    // bad time would end every op, and with none sent no better sample could come. Guards against sends that
+    // come to nothing, and against locking itself out after a slow spell.
+    const Millis expected = std::min(quantile(latencies_[op.type.number], 0.75, 0), type.target * 0.6);
     const Millis slack = 2 * catalog_.number("tick", 5);
     if (!may_send || now_ + std::max(expected, slack) > useful_until(op, type)) {
       const bool harmless =
