--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -525,7 +525,10 @@
       op.want = Want::hold;
       if (op.out > 0) continue;
       const OpType& type = type_of(op.type);
-      held.emplace_back(op.wanted_by + (now_ > op.wanted_by ? type.op_timeout : 0), id);
+      // The earliest latency target first, brought nearer for ops of more value for their time; late ones
+      // last.
+      const Millis left = op.wanted_by - now_;
+      held.emplace_back(left > 0 ? left * std::sqrt(primary_density_ / type.density()) : 1e9 - left, id);
     }
     std::sort(held.begin(), held.end());
     for (const auto& [by, id] : held) decide(ops_[id]);
