--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -185,7 +185,7 @@
     op.arrived = now_;
     op.end = now_ + arrived.patience;
     op.wanted_by = now_ + type_of(op.type).target - waited(arrived);
-    // A millisecond to the safe side: positions are rounded down, ages may be rounded either way.
+    // A millisecond to the cautious side: positions are rounded down, ages may be rounded either way.
     if (arrived.token_age > 0) op.token = now_ - std::floor(arrived.token_age) + 1;
     op.session = arrived.session;
     op.token = std::max(op.token, remembered_floor_);
@@ -249,8 +249,7 @@
     if (ended.ending == Ending::acked) member.rest = 0;
     if (ended.ending == Ending::turned_away_full || ended.ending == Ending::errored) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them:
-      // it rests, longer each time (25 ms is a few batches, 800 ms the pace of four probes), until it acks
-      // something again.
+      // it rests, longer each time (25 ms is a few batches, 800 ms four probes), until it acks again.
       member.limit = std::max(floor(), member.limit * 0.85);
       if (now_ >= member.rest_until) member.rest = std::clamp(member.rest * 2, 25.0, 800.0);
       member.rest_until = now_ + member.rest;
@@ -327,10 +326,11 @@
     member.last_bad = now_;
   }
 
-  // The limit on what is out at a member follows the latency of its own answers: it shrinks when answers take
-  // more than 0.45 of their latency target on average, which leaves room for the spread of the work, and
-  // grows below 0.35. Guards against full queues, neighbours, slow members; when all are slow the floor keeps
-  // work going.
+  // The limit on what is out at a member follows the latency of its own answers: over 0.35 of their latency
+  // target on average it shrinks, under 0.25 it grows. Tried with 0.45 and 0.35: more came late everywhere,
+  // for work varies so much that a mean of half the target leaves a quarter of answers over it. Guards
+  // against full queues, neighbours, slow members and fallbacks onto a primary; when all are slow the floor
+  // keeps work going. Harm: op types whose latency target says little of their work.
   void pace(Member& member, const OpType& type, Millis took) {
     std::deque<Millis>& mine = latencies_[&type - catalog_.op_types.data()];
     mine.push_back(took);
@@ -393,7 +393,7 @@
   }
 
   // Guards against members that hang, vanish or are cut off: a probe is answered beside the queue within a
-  // few milliseconds, so an overdue member whose probe stays out for 50 ms is silent, not busy.
+  // few milliseconds, so a member whose probe stays out for 50 ms with no answer since is silent, not busy.
   bool silent(const Member& member) const {
     return down(member) || (member.probe_out > member.last_good && now_ - member.probe_out > 50);
   }
