--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,9 +10,7 @@
 #include <cmath>
 #include <deque>
 #include <limits>
-#include <optional>
 #include <random>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -89,6 +87,13 @@
   Millis position = 0, seen = 0;
 };
 
+// Measurements are kept as the last few samples themselves.
+template <typename T>
+void keep(std::deque<T>& last, const T& sample, std::size_t most) {
+  last.push_back(sample);
+  if (last.size() > most) last.pop_front();
+}
+
 struct Member {
   ListedMember entry;
   bool listed = false, drained = false;
@@ -124,7 +129,7 @@
   OpTypeId type;
   GroupId group;
   std::string session;
-  Millis arrived = 0, wanted_by = 0, end = 0, token = kNever;
+  Millis wanted_by = 0, end = 0, token = kNever;
   Millis may_have_run = kNever;  // when the first send went out that may have run
   int sends = 0, out = 0;
   Want want = Want::hold;
@@ -182,7 +187,6 @@
     Op op;
     op.type = arrived.type;
     op.group = arrived.group;
-    op.arrived = now_;
     op.end = now_ + arrived.patience;
     op.wanted_by = now_ + type_of(op.type).target - waited(arrived);
     // A millisecond to the cautious side: positions are rounded down, ages may be rounded either way.
@@ -201,9 +205,8 @@
   // patience differs by itself.
   Millis waited(const OpArrived& arrived) {
     const OpType& type = type_of(arrived.type);
-    std::deque<Millis>& last = patiences_[arrived.type.number];
-    last.push_back(arrived.patience);
-    if (last.size() > 64) last.pop_front();
+    std::deque<Millis>& last = patiences_[arrived.type];
+    keep(last, arrived.patience, 64);
     std::deque<Millis> sorted = last;
     std::sort(sorted.begin(), sorted.end());
     std::size_t common = 0;
@@ -222,9 +225,9 @@
     Member& member = members_[ended.member];
     const auto flight = flights_.find({ended.op, ended.send});
     if (flight == flights_.end()) return;
-    const OpType& type = type_of(flight->second.type);
-    const Millis sent = flight->second.sent;
     const OpTypeId type_id = flight->second.type;
+    const OpType& type = type_of(type_id);
+    const Millis sent = flight->second.sent;
     if (ended.ending == Ending::acked) remember(flight->second.session, ended, type);
     flights_.erase(flight);
     --member.out;
@@ -240,12 +243,12 @@
       see(member, ended.seen, dated ? ended.seen.position : now_, commit);
     }
     if (ended.ending == Ending::reset || ended.ending == Ending::connect_failed) bad(member);
-    if (ended.ending == Ending::acked || ended.ending == Ending::timed_out) pace(member, type, ended.took);
+    if (ended.ending == Ending::acked || ended.ending == Ending::timed_out) pace(member, type_id, ended.took);
     if (ended.ending == Ending::acked) member.acked.push_back(now_);
     // Guards against taking a member for free whose work goes on after a time-out or call-off: what was given
     // up on counts as out for as long again as such ops usually take.
     if (ended.ending == Ending::timed_out || ended.ending == Ending::called_off)
-      member.ghosts.push_back(now_ + quantile(latencies_[type_id.number], 0.5, type.target / 4));
+      member.ghosts.push_back(now_ + quantile(latencies_[type_id], 0.5, type.target / 4));
     if (ended.ending == Ending::acked) member.rest = 0;
     if (ended.ending == Ending::turned_away_full || ended.ending == Ending::errored) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them:
@@ -291,8 +294,7 @@
     if (seen.position < 0) return;
     const Millis position = seen.position - (commit ? 1 : 0);  // a commit's time is rounded up
     member.proven = std::max(member.proven, position);
-    member.samples.push_back({member.proven, now_});
-    if (member.samples.size() > 3) member.samples.pop_front();
+    keep(member.samples, {member.proven, now_}, 3);
     if (member.proven >= member.turned_away_need)
       member.turned_away_need = std::numeric_limits<double>::infinity();
   }
@@ -331,12 +333,10 @@
   // for work varies so much that a mean of half the target leaves a quarter of answers over it. Guards
   // against full queues, neighbours, slow members and fallbacks onto a primary; when all are slow the floor
   // keeps work going. Harm: op types whose latency target says little of their work.
-  void pace(Member& member, const OpType& type, Millis took) {
-    std::deque<Millis>& mine = latencies_[&type - catalog_.op_types.data()];
-    mine.push_back(took);
-    if (mine.size() > 32) mine.pop_front();
-    if (!type.long_work) member.latencies.push_back(took);
-    if (member.latencies.size() > 16) member.latencies.pop_front();
+  void pace(Member& member, OpTypeId id, Millis took) {
+    const OpType& type = type_of(id);
+    keep(latencies_[id], took, 32);
+    if (!type.long_work) keep(member.latencies, took, 16);
     member.paces.push_back(took / std::max(1.0, type.target));
     if (member.paces.size() < 10) return;
     double mean = 0;
@@ -486,6 +486,8 @@
     const double spare = now_ > op.wanted_by ? 0.5 : 1;
     if (type.primary_only())
       return primary_usable && has_room(*primary, type.long_work, spare) ? primary : nullptr;
+    const bool zones_matter = catalog_.number("price.cross_zone", 0) > 0;
+    const double zone = catalog_.number("zone", 0);
     const Member* best = nullptr;
     std::pair<int, long> best_rank;
     for (const auto& [id, member] : members_) {
@@ -497,9 +499,7 @@
       if (tier && (type.needs == Needs::any || (type.needs == Needs::session && member.proven >= op.token)))
         tier = 1;
       if (tier == 2) continue;
-      if (catalog_.number("price.cross_zone", 0) > 0 &&
-          member.entry.zone.number != catalog_.number("zone", 0))
-        tier += 2;
+      if (zones_matter && member.entry.zone.number != zone) tier += 2;
       std::pair<int, long> rank{tier, member.turn};
       // Long work blocks the log where it runs: keep it together, on the member that holds most of it
       // already.
@@ -545,7 +545,7 @@
     // for room, another makes better use of it. Never by more than 0.6 of the latency target: samples of a
     // bad time would end every op, and with none sent no better sample could come. Guards against sends that
     // come to nothing, and against locking itself out after a slow spell.
-    const Millis expected = std::min(quantile(latencies_[op.type.number], 0.75, 0), type.target * 0.6);
+    const Millis expected = std::min(quantile(latencies_[op.type], 0.75, 0), type.target * 0.6);
     const Millis slack = 2 * catalog_.number("tick", 5);
     if (!may_send || now_ + std::max(expected, slack) > useful_until(op, type)) {
       const bool harmless =
@@ -634,8 +634,8 @@
   std::map<std::string, Millis> remembered_;
   Millis remembered_floor_ = kNever;
   std::map<std::pair<OpId, SendNumber>, Flight> flights_;
-  std::map<std::ptrdiff_t, std::deque<Millis>> patiences_;  // of the last ops, by op type
-  std::map<std::ptrdiff_t, std::deque<Millis>> latencies_;  // of the last answers, by op type
+  std::map<OpTypeId, std::deque<Millis>> patiences_;  // of the last ops, by op type
+  std::map<OpTypeId, std::deque<Millis>> latencies_;  // of the last answers, by op type
 };
 
 }  // namespace
