One module at any size: shared samples, probes by turns, cold credit, work by touched groups

Change: what one instance's probe shows is told to the others (7 bytes a member, one message a group); who told last keeps that member's pace, the others wait by chance. Without messages all together keep the pace of one. A cold member gets credit by its warmth and by what warm members answered here, far under one op where that is right. Failed probes no longer outweigh answered ops. Late members miss turns. First turns, first credit and first list calls are drawn by chance. The drain, token and write cases are as before; the case of stores that check had answered for a member the op was never sent to and is put right.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,23 +1,22 @@
 // reedspindle's decision module: every decision of the router is taken here. Interface: logic.hpp.
 //
-// A caller makes one Router an instance, notes the events of a batch in order and calls settle once. settle
-// brings the record up to date, works out what is wanted of every op, member and timer, and emit() alone
-// turns the difference between that and what stands into decisions. Design: docs/design.md, after "Read/Write
-// Splitting in .NET".
+// Note the events of a batch in order, then call settle once: it brings the record up to date and works out
+// what is wanted of ops, members and timers; emit() alone turns that into decisions. Design: docs/design.md.
 #include "logic.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <limits>
+#include <numeric>
 #include <random>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
 namespace reedspindle {
 namespace {
 
-constexpr Millis kNever = -1e18;
+constexpr Millis kNever = -1e18, kForever = 1e18;
 constexpr Millis kSampleAge = 1000;     // the design's limit on the age of a replica's sample
 constexpr Millis kProbePeriod = 200;    // the design's pace of probing
 constexpr Millis kLagThreshold = 2000;  // for reads without a bound: the figure the design's source uses
@@ -44,13 +43,9 @@
     for (int i = 0; i < static_cast<int>(number("op_types", 0)); ++i) {
       const std::string at = "op_type." + std::to_string(i) + ".";
       OpType type;
-      const std::string effect = word(at + "effect", "non-retryable"), needs = word(at + "needs", "write");
-      if (effect == "retryable") type.effect = Effect::retryable;
-      if (effect == "tokened") type.effect = Effect::tokened;
-      if (needs == "any") type.needs = Needs::any;
-      if (needs == "bounded") type.needs = Needs::bounded;
-      if (needs == "session") type.needs = Needs::session;
-      if (needs == "current") type.needs = Needs::current;
+      type.effect = static_cast<Effect>(place(word(at + "effect", ""), {"retryable", "tokened"}));
+      type.needs =
+          static_cast<Needs>(place(word(at + "needs", ""), {"any", "bounded", "session", "current"}));
       type.group_tokens = word(at + "token_scope", "group") != "all";
       type.target = number(at + "latency_target", 1000);
       type.op_timeout = number(at + "op_timeout", 0);
@@ -63,33 +58,30 @@
     std::vector<Millis> targets;
     for (const OpType& type : op_types) targets.push_back(type.target);
     std::sort(targets.begin(), targets.end());
-    // Long work: wanted far later than the usual op. Five times the median target sets reports apart from
-    // look-ups.
+    // Long work: wanted far later than the usual op; five times the median sets reports apart from look-ups.
     for (OpType& type : op_types) type.long_work = type.target > 5 * targets[targets.size() / 2];
   }
-  double number(const std::string& name, double other) const {
+  double number(const std::string& name, double other = 0) const { return pick(name, other); }
+  std::string word(const std::string& name, const std::string& other) const { return pick(name, other); }
+  std::vector<OpType> op_types;
+
+ private:
+  template <typename T>
+  T pick(const std::string& name, const T& other) const {
     const auto found = values_.find(name);
-    const double* value = found == values_.end() ? nullptr : std::get_if<double>(&found->second);
+    const T* value = found == values_.end() ? nullptr : std::get_if<T>(&found->second);
     return value ? *value : other;
   }
-  std::string word(const std::string& name, const std::string& other) const {
-    const auto found = values_.find(name);
-    const std::string* value = found == values_.end() ? nullptr : std::get_if<std::string>(&found->second);
-    return value ? *value : other;
+  // The place of a word among others, behind them all if it is none of them.
+  static long place(const std::string& word, std::initializer_list<const char*> words) {
+    return std::find(words.begin(), words.end(), word) - words.begin();
   }
-  std::vector<OpType> op_types;
-
- private:
   Values values_;
 };
 
-struct Sample {
-  Millis position = 0, seen = 0;
-};
-
 // Measurements are kept as the last few samples themselves.
 template <typename T>
-void keep(std::deque<T>& last, const T& sample, std::size_t most) {
+void keep(std::deque<T>& last, const std::type_identity_t<T>& sample, std::size_t most) {
   last.push_back(sample);
   if (last.size() > most) last.pop_front();
 }
@@ -97,30 +89,34 @@
 struct Member {
   ListedMember entry;
   bool listed = false, drained = false;
-  std::deque<Sample> samples;  // the last few, newest last
-  std::deque<double> paces;    // latency over latency target of the last answers, since the limit last moved
+  std::deque<std::pair<Millis, Millis>> samples;  // the last few: position and when seen
+  std::deque<double> paces;  // latency over latency target of the last answers, since the limit last moved
   std::deque<Millis> latencies;  // of the last answers of short work
-  std::deque<Millis> sent, acked;
+  std::deque<Millis> acked;
   std::deque<Millis> ghosts;  // until when sends given up on may still be running there
   Millis proven = kNever;     // a position once shown holds
   Millis primary_at = kNever, replica_at = kNever;
-  Millis last_good = kNever, last_bad = kNever, down_since = kNever, cold_since = kNever;
-  Millis probe_out = kNever, next_probe = kNever;
-  Millis turned_away_need = std::numeric_limits<double>::infinity(), turned_away_at = kNever;
+  Millis last_good = kNever, last_bad = kNever, op_bad = kNever, down_since = kNever, cold_since = kNever;
+  Millis probe_out = kNever, next_probe = kNever, probe_pause = 0;
+  Millis heard = kNever;  // when a sample last came, from anyone
+  Millis turned_away_need = kForever, turned_away_at = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   Millis rest = 0, rest_until = kNever;
-  double limit = 0;
+  double limit = 0, credit = 0;
+  Millis credit_at = kNever;
   int out = 0, long_out = 0;
-  long turn = 0;
-  bool want_probe = false;
+  long turn = 0, skips = 0;
+  bool mine = false;  // the last sample came of this instance's probe
+  Role said = Role::unknown;
 };
 
-struct Flight {
-  MemberId member;
-  OpTypeId type;
-  std::string session;
-  Millis sent = 0;
-  bool called_off = false, want_call_off = false;
+struct Group {
+  std::vector<Member*> members;
+  Millis wait = 0;  // how much longer than the usual pace others are given to tell of it
+  long turn = 0;
+  bool asked = false;  // an op waits for a sample
+  bool touched = true;
+  Millis next_probe = 0;
 };
 
 enum class Want { hold, send, busy_reply, error_reply };
@@ -133,33 +129,53 @@
   Millis may_have_run = kNever;  // when the first send went out that may have run
   int sends = 0, out = 0;
   Want want = Want::hold;
-  MemberId to;
+  Member* to = nullptr;
+};
+
+struct Flight {
+  Member* member = nullptr;
+  Op op;
+  Millis sent = 0;
+  bool called_off = false, want_call_off = false;
 };
 
 class Steering final : public Router {
  public:
   Steering(const Values& values, std::uint64_t seed)
       : catalog_(values), chance_(static_cast<std::minstd_rand::result_type>(seed)) {
-    instances_ = std::max(1.0, catalog_.number("instances", 1));
-    stores_check_ = catalog_.word("checks", "none") != "none";
     for (const OpType& type : catalog_.op_types)
       if (type.primary_only()) primary_density_ = std::max(primary_density_, type.density());
-    may_probe_ = catalog_.number("allow.probes", 0) > 0;
   }
 
   void note(const Event& event) override { noted_.push_back(event); }
 
   std::vector<Decision> settle(Millis now) override {
+    if (born_ == kNever) born_ = now;
     now_ = now;
     for (const Event& event : noted_) std::visit([this](const auto& e) { learn(e); }, event);
     noted_.clear();
-    judge_members();
+    judge_flights();
     decide_ops();
+    decide_probes();
     decide_list();
     return emit();
   }
 
  private:
+  Catalog catalog_;
+  std::minstd_rand chance_;
+  const double instances_ = std::max(1.0, catalog_.number("instances", 1));
+
+  double roll() {
+    return static_cast<double>(chance_() - chance_.min()) / static_cast<double>(chance_.max());
+  }
+
+  Group& touch(const Member& member) {
+    Group& group = groups_[member.entry.group];
+    group.touched = true;
+    return group;
+  }
+
   // ---- what is learned from events ----
 
   void learn(const ListRead& read) {
@@ -173,9 +189,20 @@
     if (read.kind != ListKind::changes)
       for (auto& [id, member] : members_) member.listed = false;
     for (const ListedMember& entry : read.members) {
-      Member& member = members_[entry.member];
-      if (member.limit == 0) member.limit = std::max(1.0, 8 / instances_);
+      const auto [at, is_new] = members_.try_emplace(entry.member);
+      Member& member = at->second;
       member.entry = entry;
+      if (is_new) {
+        touch(member).members.push_back(&member);
+        member.limit = std::max(1.0, 8 / instances_);
+        // By chance, so that instances don't all begin with the same member, nor spend all credit at once.
+        member.credit = roll();
+        member.credit_at = now_;
+        member.turn = touch(member).turn - static_cast<long>(100 * roll());
+        Member*& marked = marked_.try_emplace(mark(entry.member), &member).first->second;
+        if (marked != &member) marked = nullptr;
+      }
+      touch(member);
       member.listed = entry.state != MemberState::gone;
       if (entry.state == MemberState::draining) member.drained = true;
       if (entry.state == MemberState::ready) member.drained = false;
@@ -222,107 +249,179 @@
   }
 
   void learn(const SendEnded& ended) {
-    Member& member = members_[ended.member];
     const auto flight = flights_.find({ended.op, ended.send});
     if (flight == flights_.end()) return;
-    const OpTypeId type_id = flight->second.type;
-    const OpType& type = type_of(type_id);
+    Member& member = *flight->second.member;
+    touch(member);
+    const Op sent_op = flight->second.op;
+    const OpType& type = type_of(sent_op.type);
     const Millis sent = flight->second.sent;
-    if (ended.ending == Ending::acked) remember(flight->second.session, ended, type);
     flights_.erase(flight);
-    --member.out;
+    if (--member.out == 0) member.oldest_out = kNever;
     if (type.long_work) --member.long_out;
-    const bool answered = ended.ending == Ending::acked || ended.ending == Ending::errored ||
-                          ended.ending == Ending::turned_away_full ||
-                          ended.ending == Ending::turned_away_untouched;
-    const auto found = ops_.find(ended.op);
-    if (answered) {
+    const auto is = [&ended](auto... ending) { return ((ended.ending == ending) || ...); };
+    if (is(Ending::acked, Ending::errored, Ending::turned_away_full, Ending::turned_away_untouched)) {
       good(member);
-      const bool commit = ended.ending == Ending::acked && type.needs == Needs::write;
+      const bool commit = is(Ending::acked) && type.needs == Needs::write;
       const bool dated = ended.seen.role == Role::primary && ended.seen.position >= 0;
-      see(member, ended.seen, dated ? ended.seen.position : now_, commit);
+      see(member, ended.seen, dated ? ended.seen.position : now_, now_, commit);
     }
-    if (ended.ending == Ending::reset || ended.ending == Ending::connect_failed) bad(member);
-    if (ended.ending == Ending::acked || ended.ending == Ending::timed_out) pace(member, type_id, ended.took);
-    if (ended.ending == Ending::acked) member.acked.push_back(now_);
+    if (is(Ending::acked)) {
+      remember(sent_op.session, ended, type);
+      keep(member.acked, now_, 1000);
+      member.rest = 0;
+    }
+    if (is(Ending::reset, Ending::connect_failed)) {
+      bad(member);
+      member.op_bad = now_;
+    }
+    if (is(Ending::acked, Ending::timed_out)) pace(member, sent_op.type, ended.took);
     // Guards against taking a member for free whose work goes on after a time-out or call-off: what was given
     // up on counts as out for as long again as such ops usually take.
-    if (ended.ending == Ending::timed_out || ended.ending == Ending::called_off)
-      member.ghosts.push_back(now_ + quantile(latencies_[type_id], 0.5, type.target / 4));
-    if (ended.ending == Ending::acked) member.rest = 0;
-    if (ended.ending == Ending::turned_away_full || ended.ending == Ending::errored) {
+    if (is(Ending::timed_out, Ending::called_off))
+      member.ghosts.push_back(now_ + quantile(latencies_[sent_op.type], 0.5, type.target / 4));
+    if (is(Ending::turned_away_full, Ending::errored)) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them:
-      // it rests, longer each time (25 ms is a few batches, 800 ms four probes), until it acks again.
+      // it misses turns and rests, longer each time (25 ms is a few batches, 800 ms four probes), until it
+      // acks.
+      miss_turns(member);
       member.limit = std::max(floor(), member.limit * 0.85);
       if (now_ >= member.rest_until) member.rest = std::clamp(member.rest * 2, 25.0, 800.0);
       member.rest_until = now_ + member.rest;
     }
-    if (ended.ending == Ending::turned_away_untouched && found != ops_.end()) {
+    const auto found = ops_.find(ended.op);
+    if (found == ops_.end()) return;
+    Op& op = found->second;
+    if (is(Ending::turned_away_untouched)) {
       if (type.needs == Needs::write) member.replica_at = now_;
-      member.turned_away_need = std::min(need(found->second, type), member.turned_away_need);
+      member.turned_away_need = std::min(need(op, type), member.turned_away_need);
       member.turned_away_at = now_;
     }
-    if (found == ops_.end()) return;
-    Op& op = found->second;
     --op.out;
-    if (ended.op_ended) {
-      ops_.erase(found);
-      return;
-    }
-    const bool proven_not_run =
-        ended.ending == Ending::turned_away_full || ended.ending == Ending::connect_failed ||
-        ended.ending == Ending::never_sent || ended.ending == Ending::turned_away_untouched;
+    const bool proven_not_run = is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent,
+                                   Ending::turned_away_untouched);
     if (!proven_not_run && op.may_have_run == kNever) op.may_have_run = sent;
+    if (ended.op_ended) ops_.erase(found);
   }
 
   void learn(const ProbeEnded& ended) {
     Member& member = members_[ended.member];
     member.probe_out = kNever;
-    if (!ended.answered) return bad(member);
+    member.mine = ended.answered && may_tell_;
+    if (Group& group = touch(member); !may_tell_) group.wait = patience();
+    if (!ended.answered) {
+      // All instances together go on probing such a member about as often as one would.
+      member.probe_pause =
+          std::clamp(member.probe_pause * 2, kProbePeriod, kProbePeriod * std::min(instances_, 16.0));
+      return bad(member);
+    }
     good(member);
-    see(member, ended.seen, ended.seen.position, false);
+    // Probes that were sent for another reason than the pace tell the others nothing they need.
+    if (may_tell_ && now_ - member.heard > kProbePeriod / 2 && ended.seen.position >= 0)
+      want_tells_.push_back(&member);
+    see(member, ended.seen, ended.seen.position, now_);
+    member.said = ended.seen.role;
   }
 
   void learn(const OpGone& gone) { ops_.erase(gone.op); }
-  void learn(const TimerDue&) { armed_ = kNever; }
-  void learn(const PeerSpoke&) {}
+  void learn(const TimerDue& due) {
+    if (due.timer == armed_as_) armed_ = kNever;
+  }
+
+  // ---- what instances tell each other ----
+  // A position once shown holds whoever saw it, so samples are shared; health is not, it is of the path.
+  // "r1", the sender's clock (5 digits, ms), then by member: mark (4), lag in kLagUnit (2), role (1).
+
+  static constexpr std::string_view kDigits =
+      "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_";
+  static constexpr std::size_t kHeader = 7, kEntry = 7, kLongest = 256;
+  static constexpr Millis kLagUnit = 4;  // lets two digits span 16 s
+  static constexpr long kClock = 1L << 30, kLags = 1L << 12;
+
+  static std::string digits(long number, int count) {
+    return count == 0 ? "" : digits(number / 64, count - 1) + kDigits[static_cast<std::size_t>(number % 64)];
+  }
+  // Below 0: no number.
+  static long number_in(std::string_view text) {
+    long number = 0;
+    for (const char digit : text) {
+      const auto at = kDigits.find(digit);
+      if (at == kDigits.npos) return -1;
+      number = number * 64 + static_cast<long>(at);
+    }
+    return number;
+  }
+  // Every instance gets the same one from the address alone (FNV-1a, 24 bits).
+  static long mark(const MemberId& id) {
+    std::uint32_t hash = 2166136261u;
+    for (const char letter : id.address) hash = (hash ^ static_cast<unsigned char>(letter)) * 16777619u;
+    return static_cast<long>((hash ^ hash >> 24) & 0xffffff);
+  }
+
+  // Guards against peers that are of another version, late or wrong: what does not read as a whole, is over
+  // a second old or from the future is dropped, as are members that are unknown or share a mark.
+  void learn(const PeerSpoke& spoke) {
+    const std::string_view text = spoke.text;
+    if (text.size() > kLongest || text.size() <= kHeader || (text.size() - kHeader) % kEntry != 0) return;
+    const long clock = number_in(text.substr(2, 5));
+    const double wrap = static_cast<double>(kClock);
+    const Millis then = now_ - std::fmod(now_ - static_cast<double>(clock) + wrap, wrap) - 1;
+    if (!text.starts_with("r1") || clock < 0 || now_ - then > kSampleAge) return;
+    for (std::size_t at = kHeader; at < text.size(); at += kEntry) {
+      const long lag = number_in(text.substr(at + 4, 2));
+      const long role = number_in(text.substr(at + 6, 1));
+      const auto found = marked_.find(number_in(text.substr(at, 4)));
+      if (lag < 0 || role < 0 || role > 2 || found == marked_.end() || !found->second ||
+          then <= found->second->heard)
+        continue;
+      Member& member = *found->second;
+      member.mine = false;
+      member.probe_pause = 0;
+      touch(member).wait = patience();
+      const Millis position = lag < kLags - 1 ? then - static_cast<double>(lag) * kLagUnit : -1;
+      see(member, {static_cast<Role>(role), position}, position, then);
+    }
+  }
+
+  // How much longer than the usual pace another instance is given to tell first: drawn by each, so that few
+  // speak at once (50 ms is what a message takes at the most, 10 ms what sets two apart). Where
+  // none can tell, all together keep the pace of one.
+  Millis patience() {
+    if (instances_ <= 1) return 0;
+    return may_tell_ ? 50 + 10 * instances_ * roll() : 2 * kProbePeriod * (instances_ - 1) * roll();
+  }
+
+  const bool may_probe_ = catalog_.number("allow.probes") > 0;
+  const bool may_tell_ = instances_ > 1 && catalog_.number("allow.peers") > 0;
 
   // A primary stands at the present, so the position it claims dates the claim.
-  void see(Member& member, const Sighting& seen, Millis date, bool commit) {
+  void see(Member& member, const Sighting& seen, Millis date, Millis at, bool commit = false) {
+    member.heard = at;
     if (seen.role == Role::primary) member.primary_at = std::max(member.primary_at, date);
     if (seen.role == Role::replica) member.replica_at = std::max(member.replica_at, date);
     if (seen.position < 0) return;
-    const Millis position = seen.position - (commit ? 1 : 0);  // a commit's time is rounded up
-    member.proven = std::max(member.proven, position);
-    keep(member.samples, {member.proven, now_}, 3);
-    if (member.proven >= member.turned_away_need)
-      member.turned_away_need = std::numeric_limits<double>::infinity();
+    member.proven = std::max(member.proven, seen.position - (commit ? 1 : 0));  // a commit is rounded up
+    keep(member.samples, {member.proven, at}, 3);
+    if (member.proven >= member.turned_away_need) member.turned_away_need = kForever;
   }
 
-  // The design leaves open how long tokens are kept. All are, but when there are many the old half is folded
-  // into one token that binds every session: replicas have long applied it, unless they are far behind and
-  // not to be read.
+  // The design leaves open how long tokens are kept. All are; when there are many, they are folded into one
+  // that binds every session: replicas will soon have applied it.
   void remember(const std::string& session, const SendEnded& ended, const OpType& type) {
-    if (type.needs != Needs::write || ended.seen.position < 0 || catalog_.word("tokens", "") != "remembered")
-      return;
+    if (type.needs != Needs::write || ended.seen.position < 0 || !remembers_) return;
     Millis& mine = remembered_.try_emplace(session, kNever).first->second;
     mine = std::max(mine, ended.seen.position);
-    if (remembered_.size() < 10000) return;
-    std::deque<Millis> all;
-    for (const auto& [name, token] : remembered_) all.push_back(token);
-    remembered_floor_ = std::max(remembered_floor_, quantile(all, 0.5, kNever));
-    std::erase_if(remembered_, [this](const auto& item) { return item.second <= remembered_floor_; });
+    if (remembered_.size() > 10000) remembered_floor_ = now_, remembered_.clear();
   }
+  const bool remembers_ = catalog_.word("tokens", "") == "remembered";
 
+  // Guards against pushing over a member that restarted before the list told of it: one that comes back after
+  // failing for two seconds is taken for cold. Harm: one that was only cut off is used sparingly for a while.
   void good(Member& member) {
-    // Guards against pushing over a member that restarted before the list told of it: one that comes back
-    // after failing for two seconds is taken for cold. Harm: a member that was only cut off is used sparingly
-    // for a while.
     if (member.down_since != kNever && now_ - member.down_since > 2000) member.cold_since = now_;
     member.down_since = kNever;
     member.last_good = now_;
   }
-
   void bad(Member& member) {
     if (member.down_since == kNever) member.down_since = now_;
     member.last_bad = now_;
@@ -336,16 +435,27 @@
   void pace(Member& member, OpTypeId id, Millis took) {
     const OpType& type = type_of(id);
     keep(latencies_[id], took, 32);
-    if (!type.long_work) keep(member.latencies, took, 16);
+    // Guards against members that are slow, be it for this instance only: after a late answer a member misses
+    // turns, ever more until it answers well. Counted in turns, it suits busy and idle instances alike.
+    if (!type.long_work) {
+      keep(member.latencies, took, 16);
+      keep(short_latencies_, took, 32);
+      if (took < 0.5 * type.target) member.skips = 0;
+      if (took > type.target) miss_turns(member);
+    }
     member.paces.push_back(took / std::max(1.0, type.target));
     if (member.paces.size() < 10) return;
-    double mean = 0;
-    for (double pace : member.paces) mean += pace / static_cast<double>(member.paces.size());
+    const double mean = std::accumulate(member.paces.begin(), member.paces.end(), 0.0) / 10;
     if (mean > 0.35) member.limit = std::max(floor(), member.limit * 0.85);
     if (mean < 0.25 && member.out + 1 >= member.limit * 0.7) member.limit += 1;
     member.paces.clear();
   }
 
+  void miss_turns(Member& member) {
+    member.skips = std::clamp(member.skips * 2, 1L, 8L);
+    member.turn += member.skips * static_cast<long>(touch(member).members.size());
+  }
+
   // Any server runs a few ops at once; the instances share it.
   double floor() const { return std::max(1.0, 4 / instances_); }
 
@@ -361,92 +471,97 @@
     return samples[static_cast<std::size_t>(share * static_cast<double>(samples.size() - 1))];
   }
 
-  void judge_members() {
-    for (auto& [id, member] : members_) member.oldest_out = kNever;
+  void judge_flights() {
+    for (const auto& [key, flight] : flights_) flight.member->oldest_out = kNever;
     for (const auto& [key, flight] : flights_) {
-      Member& member = members_[flight.member];
-      if (type_of(flight.type).long_work || flight.called_off) continue;
+      Member& member = *flight.member;
+      touch(member);
+      if (type_of(flight.op.type).long_work || flight.called_off) continue;
       if (member.oldest_out == kNever || flight.sent < member.oldest_out) member.oldest_out = flight.sent;
     }
-    for (auto& [id, member] : members_) {
-      const Millis fall = catalog_.number("rule.fall", 1000);
-      while (!member.sent.empty() && member.sent.front() < now_ - fall) member.sent.pop_front();
-      std::erase_if(member.ghosts, [this](Millis until) { return until <= now_; });
-      while (!member.acked.empty() && member.acked.front() < now_ - fall) member.acked.pop_front();
-      const bool known_fresh = !member.samples.empty() && now_ - member.samples.back().seen < kProbePeriod;
-      member.want_probe = may_probe_ && member.listed && member.probe_out == kNever &&
-                          now_ >= member.next_probe && (!known_fresh || down(member));
-      if (may_probe_ && member.probe_out == kNever && overdue(member) && member.last_bad < member.oldest_out)
-        member.want_probe = true;
-    }
     for (auto& [key, flight] : flights_)
-      flight.want_call_off = !flight.called_off && catalog_.number("allow.call_off", 0) > 0 &&
-                             type_of(flight.type).effect == Effect::retryable &&
-                             silent(members_[flight.member]);
+      flight.want_call_off = !flight.called_off && may_call_off_ &&
+                             type_of(flight.op.type).effect == Effect::retryable && silent(*flight.member);
   }
+  const bool may_call_off_ = catalog_.number("allow.call_off") > 0;
 
   // No answer of any kind for longer than its answers usually take, with an op out all that time.
   bool overdue(const Member& member) const {
     if (member.oldest_out == kNever) return false;
-    const Millis usual = quantile(member.latencies, 0.75, 100);
+    const Millis usual = quantile(member.latencies, 0.75, quantile(short_latencies_, 0.75, 100));
     return now_ - std::max(member.last_good, member.oldest_out) > std::max(60.0, 2 * usual);
   }
 
   // Guards against members that hang, vanish or are cut off: a probe is answered beside the queue within a
-  // few milliseconds, so a member whose probe stays out for 50 ms with no answer since is silent, not busy.
+  // few milliseconds, so a member that is overdue and whose probe failed or stays out for 50 ms with no
+  // answer since is silent, not busy.
   bool silent(const Member& member) const {
-    return down(member) || (member.probe_out > member.last_good && now_ - member.probe_out > 50);
+    return (down(member) && member.op_bad > member.last_good) ||
+           (overdue(member) &&
+            (down(member) || (member.probe_out > member.last_good && now_ - member.probe_out > 50)));
   }
 
   bool down(const Member& member) const { return member.last_bad > member.last_good; }
 
   bool sendable(const Member& member) const {
-    const bool bound_by_gone = catalog_.number("rule.only_draining_binds", 0) <= 0;
     if (member.drained || member.entry.state == MemberState::draining) return false;
-    return member.listed || !bound_by_gone;
+    return member.listed || !bound_by_gone_;
   }
+  const bool bound_by_gone_ = catalog_.number("rule.only_draining_binds") <= 0;
 
+  // Guards against trusting failed probes over answered ops: where only probes say that a member is down, or
+  // its ops failed a second ago, one op at a time may find out where nothing better is left.
   bool usable(const Member& member) const {
-    return sendable(member) && now_ >= member.rest_until && !silent(member) && !overdue(member);
+    return sendable(member) && now_ >= member.rest_until && !overdue(member) &&
+           (!down(member) || (member.out == 0 && now_ - member.op_bad > 1000));
   }
 
   // The share of its capacity that a cold member has at least.
   double warmth(const Member& member) const {
-    const Millis within = catalog_.number("rule.warm_within", 0), age = now_ - member.cold_since;
-    if (age >= within || within <= 0) return 1;
-    const double from = catalog_.number("rule.cold_from", 1);
-    return from + (1 - from) * std::max(0.0, age) / within;
+    const Millis age = now_ - member.cold_since;
+    if (age >= warm_within_ || warm_within_ <= 0) return 1;
+    return cold_from_ + (1 - cold_from_) * std::max(0.0, age) / warm_within_;
+  }
+  const Millis warm_within_ = catalog_.number("rule.warm_within");
+  const double cold_from_ = catalog_.number("rule.cold_from", 1);
+
+  // Guards against pushing over a cold member: in a millisecond this instance sends it at most half the
+  // rule's multiple of its share of what a warm member of its kind answered this instance of late. That may
+  // be far under one op; the sum over any number of instances is half the rule's multiple of what warm
+  // members carry.
+  double cold_rate(const Member& member) {
+    std::size_t carried = 0, warm = 0;
+    for (auto& [id, other] : members_) {
+      if (other.entry.kind != member.entry.kind || warmth(other) < 1 || down(other)) continue;
+      while (!other.acked.empty() && other.acked.front() < now_ - kCarried) other.acked.pop_front();
+      carried += other.acked.size(), ++warm;
+    }
+    const double each = static_cast<double>(carried) / std::max(1.0, static_cast<double>(warm)) / kCarried;
+    return warmth(member) * fall_multiple_ / 2 * each;
   }
+  static constexpr Millis kCarried = 5000;  // long enough for some ops of an idle instance
+  const double fall_multiple_ = catalog_.number("rule.fall_multiple", 2);
 
-  // Guards against pushing over a cold member: what is out at it is held to its share of the limit, and what
-  // is sent within the rule's window to half the rule's multiple of its share of what a warm member of its
-  // size answered us.
-  bool has_room(const Member& member, bool long_work, double part) const {
+  bool has_room(Member& member, bool long_work, double part) {
     const double share = warmth(member);
+    std::erase_if(member.ghosts, [this](Millis until) { return until <= now_; });
     const double out = member.out + static_cast<double>(member.ghosts.size());
     if (out + 0.5 > std::max(1.0, member.limit * part * share)) return false;
     if (share >= 1) return true;
-    if (long_work) return false;
-    std::size_t carried = 0;
-    for (const auto& [id, other] : members_)
-      if (other.entry.kind == member.entry.kind && warmth(other) >= 1)
-        carried = std::max(carried, other.acked.size());
-    const double budget = share * catalog_.number("rule.fall_multiple", 2) / 2 * static_cast<double>(carried);
-    return static_cast<double>(member.sent.size()) < std::max(2.0, budget);
-  }
-
-  const Member* primary_of(GroupId group) const {
-    const Member* best = nullptr;
-    for (const auto& [id, member] : members_) {
-      if (member.entry.group != group || member.primary_at == kNever ||
-          member.primary_at <= member.replica_at)
-        continue;
-      if (!best || member.primary_at > best->primary_at) best = &member;
+    const Millis since = std::max(std::exchange(member.credit_at, now_), member.cold_since);
+    member.credit = std::min(1.0, member.credit + (now_ - since) * cold_rate(member));
+    return !long_work && member.credit >= 1;
+  }
+
+  static Member* primary_of(const Group& group) {
+    Member* best = nullptr;
+    for (Member* member : group.members) {
+      if (member->primary_at == kNever || member->primary_at <= member->replica_at) continue;
+      if (!best || member->primary_at > best->primary_at) best = member;
     }
     if (best) return best;
-    for (const auto& [id, member] : members_)
-      if (member.entry.group == group && member.listed && member.entry.primary && member.replica_at == kNever)
-        return &member;
+    for (Member* member : group.members)
+      if (member->listed && member->entry.primary && member->replica_at == kNever) return member;
     return nullptr;
   }
 
@@ -461,57 +576,61 @@
 
   // The design's three tests.
   bool passes(const Member& member, const Op& op, const OpType& type) const {
-    if (member.samples.empty() || now_ - member.samples.back().seen > kSampleAge) return false;
+    if (member.samples.empty() || now_ - member.samples.back().second > kSampleAge) return false;
     const Millis threshold = type.needs == Needs::bounded ? type.bound : kLagThreshold;
-    if (now_ - member.proven > threshold) return false;
-    return member.proven >= op.token;
+    return now_ - member.proven <= threshold && member.proven >= op.token;
   }
 
   // Where stores check reads themselves, a replica is tried when it would pass if it now lags as it did in
   // the best of its last samples: a report is itself old, so the least lag seen comes nearest to the truth.
+  // That holds however old the samples: the store's own word costs less than a probe.
   bool likely(const Member& member, const Op& op, const OpType& type) const {
-    if (!stores_check_ || member.samples.empty() || now_ - member.samples.back().seen > kSampleAge)
-      return false;
-    Millis lag = std::numeric_limits<double>::infinity();
-    for (const Sample& sample : member.samples) lag = std::min(lag, sample.seen - sample.position);
+    if (!stores_check_) return false;
+    if (member.samples.empty()) return now_ - member.turned_away_at > kSampleAge;
+    Millis lag = kForever;
+    for (const auto& [position, seen] : member.samples) lag = std::min(lag, seen - position);
     const Millis wanted = need(op, type);
     if (now_ - member.turned_away_at < kProbePeriod && wanted >= member.turned_away_need) return false;
     return now_ - lag >= wanted;
   }
 
-  const Member* choose(const Op& op, const OpType& type) const {
-    const Member* primary = primary_of(op.group);
+  const bool stores_check_ = catalog_.word("checks", "none") != "none";
+  const bool zones_matter_ = catalog_.number("price.cross_zone") > 0;
+  const double zone_ = catalog_.number("zone");
+
+  Member* choose(const Op& op, const OpType& type) {
+    Group& group = groups_[op.group];
+    group.touched = true;
+    Member* primary = primary_of(group);
+    if (!primary) group.asked = true;
     const bool primary_usable = primary && usable(*primary);
     // An op past its latency target is of little value: it goes only where half the limit is free.
     const double spare = now_ > op.wanted_by ? 0.5 : 1;
     if (type.primary_only())
       return primary_usable && has_room(*primary, type.long_work, spare) ? primary : nullptr;
-    const bool zones_matter = catalog_.number("price.cross_zone", 0) > 0;
-    const double zone = catalog_.number("zone", 0);
-    const Member* best = nullptr;
+    Member* best = nullptr;
     std::pair<int, long> best_rank;
-    for (const auto& [id, member] : members_) {
-      if (member.entry.group != op.group || &member == primary || !usable(member)) continue;
-      if (!has_room(member, type.long_work, spare)) continue;
-      int tier = passes(member, op, type) || likely(member, op, type) ? 0 : 2;
-      // Beyond the threshold, but proven all the same: before a busy primary is asked, data that the op
-      // allows will do.
-      if (tier && (type.needs == Needs::any || (type.needs == Needs::session && member.proven >= op.token)))
+    for (Member* member : group.members) {
+      if (member == primary || !usable(*member) || !has_room(*member, type.long_work, spare)) continue;
+      int tier = passes(*member, op, type) || likely(*member, op, type) ? 0 : 2;
+      // Beyond the threshold, but proven all the same: better than asking a busy primary.
+      if (tier && (type.needs == Needs::any || (type.needs == Needs::session && member->proven >= op.token)))
         tier = 1;
       if (tier == 2) continue;
-      if (zones_matter && member.entry.zone.number != zone) tier += 2;
-      std::pair<int, long> rank{tier, member.turn};
-      // Long work blocks the log where it runs: keep it together, on the member that holds most of it
-      // already.
-      if (type.long_work) rank = {-member.long_out, 0};
-      if (!best || rank < best_rank) best = &member, best_rank = rank;
+      if (zones_matter_ && member->entry.zone.number != zone_) tier += 2;
+      if (down(*member)) tier += 4;
+      std::pair<int, long> rank{tier, member->turn};
+      // Long work blocks the log where it runs: keep it together, on the member that holds most of it.
+      if (type.long_work) rank = {tier / 4 * 4, -member->long_out};
+      if (!best || rank < best_rank) best = member, best_rank = rank;
     }
-    if (best) return best;
+    if (best && best_rank.first < 4) return best;
+    if (!best && !stores_check_) group.asked = true;
     // A primary takes reads into half its limit, and up to 0.8 of it as they come to be of as much value for
     // their time as what only it can do: the rest is kept for that. Guards the primary when replicas fall
     // behind.
     const double part = 0.5 + 0.3 * std::min(1.0, type.density() / primary_density_);
-    return primary_usable && has_room(*primary, type.long_work, part * spare) ? primary : nullptr;
+    return primary_usable && has_room(*primary, type.long_work, part * spare) ? primary : best;
   }
 
   // Until when an answer is of use.
@@ -520,17 +639,18 @@
   }
 
   void decide_ops() {
+    for (auto& [id, group] : groups_) group.asked = false;
     std::vector<std::tuple<Millis, OpId>> held;
     for (auto& [id, op] : ops_) {
       op.want = Want::hold;
       if (op.out > 0) continue;
       const OpType& type = type_of(op.type);
-      // The earliest latency target first, brought nearer for ops of more value for their time; late ones
-      // last.
+      // The earliest latency target first, nearer for ops of more value for their time; late ones last.
       const Millis left = op.wanted_by - now_;
       held.emplace_back(left > 0 ? left * std::sqrt(primary_density_ / type.density()) : 1e9 - left, id);
     }
     std::sort(held.begin(), held.end());
+    held_ = !held.empty();
     for (const auto& [by, id] : held) decide(ops_[id]);
   }
 
@@ -538,7 +658,7 @@
     const OpType& type = type_of(op.type);
     const bool ran = op.may_have_run != kNever;
     const bool may_send =
-        op.sends < catalog_.number("allow.sends_per_op", 1) &&
+        op.sends < most_sends_ &&
         (!ran || type.effect == Effect::retryable ||
          (type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50));
     // What can't be answered in time by the usual latency is ended: by the upper quartile, for where ops wait
@@ -546,34 +666,71 @@
     // bad time would end every op, and with none sent no better sample could come. Guards against sends that
     // come to nothing, and against locking itself out after a slow spell.
     const Millis expected = std::min(quantile(latencies_[op.type], 0.75, 0), type.target * 0.6);
-    const Millis slack = 2 * catalog_.number("tick", 5);
-    if (!may_send || now_ + std::max(expected, slack) > useful_until(op, type)) {
+    if (!may_send || now_ + std::max(expected, 2 * tick_) > useful_until(op, type)) {
       const bool harmless =
           !ran || type.effect == Effect::retryable || (type.effect == Effect::tokened && !type.group_tokens);
       op.want = harmless ? Want::busy_reply : Want::error_reply;
       return;
     }
-    const Member* to = choose(op, type);
+    Member* to = choose(op, type);
     if (!to) return;
-    op.want = Want::send;
-    op.to = to->entry.member;
-    Member& member = members_[op.to];
-    ++member.out;
-    if (type.long_work) ++member.long_out;
-    member.sent.push_back(now_);
-    member.turn = ++turn_;
+    op.want = Want::send, op.to = to;
+    ++to->out;
+    if (type.long_work) ++to->long_out;
+    if (warmth(*to) < 1) to->credit -= 1;
+    Group& group = groups_[op.group];
+    to->turn = ++group.turn + to->skips * static_cast<long>(group.members.size());
+  }
+  const double most_sends_ = catalog_.number("allow.sends_per_op", 1);
+  const Millis tick_ = catalog_.number("tick", 5);
+
+  // ---- probes ----
+
+  // When the next probe of a member is due. Its part of the pace falls to this instance when it was the last
+  // to tell of the member, or when others leave it untold. Beside that: when an op waits for a sample, and at
+  // once when an op is overdue there.
+  Millis probe_at(const Group& group, const Member& member) const {
+    if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
+    if (overdue(member) && member.last_bad < member.oldest_out && member.next_probe <= now_) return now_;
+    Millis at = std::max(member.heard, born_ - kProbePeriod) + kProbePeriod + (member.mine ? 0 : group.wait);
+    if (group.asked) at = std::min(at, member.heard + kSampleAge / 2);
+    return std::max(at, member.next_probe);
+  }
+
+  void decide_probes() {
+    next_probe_ = kForever;
+    for (auto& [id, group] : groups_) {
+      if (std::exchange(group.touched, false) || group.next_probe <= now_) judge_probes(group);
+      next_probe_ = std::min(next_probe_, group.next_probe);
+    }
+  }
+
+  void judge_probes(Group& group) {
+    if (group.wait == 0) group.wait = patience();
+    group.next_probe = kForever;
+    bool due = false;
+    for (Member* member : group.members) {
+      const Millis at = probe_at(group, *member);
+      due = due || at <= now_;
+      if (at > now_) group.next_probe = std::min(group.next_probe, at);
+    }
+    // What this instance tells of a group goes into one message.
+    if (!due) return;
+    for (Member* member : group.members)
+      if (probe_at(group, *member) - (member->mine ? kProbePeriod / 2 : 0) <= now_)
+        want_probes_.push_back(member);
   }
 
   // ---- the list ----
 
+  // The first calls are spread, for the list is one service for all instances.
   void decide_list() {
-    if (catalog_.word("list", "push") != "ask") return;
+    if (!ask_) return;
+    if (next_watch_ == kNever) next_watch_ = now_ + roll() * std::min(25 * (instances_ - 1), ask_within_ / 2);
     want_watch_ = now_ >= next_watch_;
   }
-
-  double roll() {
-    return static_cast<double>(chance_() - chance_.min()) / static_cast<double>(chance_.max());
-  }
+  const bool ask_ = catalog_.word("list", "push") == "ask";
+  const Millis ask_within_ = catalog_.number("rule.ask_within", 10000);
 
   // ---- from wanted to done ----
 
@@ -581,61 +738,78 @@
     std::vector<Decision> out;
     if (std::exchange(want_watch_, false)) {
       out.push_back(WatchList{});
-      next_watch_ = std::numeric_limits<double>::infinity();
+      next_watch_ = kForever;
     }
-    for (auto& [id, member] : members_) {
-      if (!member.want_probe) continue;
-      out.push_back(Probe{id});
-      member.probe_out = now_;
-      member.next_probe = now_ + kProbePeriod * (0.9 + 0.2 * roll());
+    for (Member* member : std::exchange(want_probes_, {})) {
+      out.push_back(Probe{member->entry.member});
+      member->probe_out = now_;
+      member->next_probe = now_ + std::max(kProbePeriod * 0.75, member->probe_pause * (0.9 + 0.2 * roll()));
     }
+    tell(out);
     for (auto& [key, flight] : flights_) {
       if (!flight.want_call_off || flight.called_off) continue;
       out.push_back(CallOff{key.first, key.second});
       flight.called_off = true;
+      flight.member->op_bad = flight.member->last_bad = now_;
     }
     std::vector<OpId> ended;
     for (auto& [id, op] : ops_) {
       if (op.want == Want::send) {
-        out.push_back(Send{id, op.to, op.end - now_});
-        flights_[{id, {op.sends}}] = {op.to, op.type, op.session, now_, false, false};
+        out.push_back(Send{id, op.to->entry.member, op.end - now_});
+        flights_[{id, {op.sends}}] = {op.to, op, now_};
         ++op.sends;
         ++op.out;
       } else if (op.want != Want::hold) {
-        if (op.want == Want::busy_reply)
-          out.push_back(BusyReply{id, catalog_.number("allow.come_back", 0) > 0 ? come_back() : 0});
-        else
-          out.push_back(ErrorReply{id});
+        op.want == Want::busy_reply ? out.push_back(BusyReply{id, come_back_})
+                                    : out.push_back(ErrorReply{id});
         ended.push_back(id);
       }
     }
     for (const OpId id : ended) ops_.erase(id);
-    const Millis wake = now_ + (ops_.empty() ? 50 : 10);
+    Millis wake = ask_ ? std::min(next_probe_, next_watch_) : next_probe_;
+    if (!ops_.empty()) wake = std::min(wake, now_ + (held_ ? 10 : 20));
+    wake = std::clamp(wake, now_ + tick_, now_ + 1000);
     if (armed_ == kNever || wake < armed_) {
-      out.push_back(Wake{{0}, wake});
+      ++armed_as_.number;
+      out.push_back(Wake{armed_as_, wake});
       armed_ = wake;
     }
     return out;
   }
 
-  Millis come_back() const { return catalog_.number("allow.longest_come_back", 0); }
+  void tell(std::vector<Decision>& out) {
+    const long now = static_cast<long>(std::floor(now_));
+    std::string text;
+    for (const Member* member : std::exchange(want_tells_, {})) {
+      if (text.empty()) text = "r1" + digits(now % kClock, 5);
+      const long lag = static_cast<long>(std::ceil((static_cast<double>(now) - member->proven) / kLagUnit));
+      text += digits(mark(member->entry.member), 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
+      text += digits(static_cast<long>(member->said), 1);
+      if (text.size() + kEntry > kLongest) out.push_back(TellPeers{std::exchange(text, "")});
+    }
+    if (!text.empty()) out.push_back(TellPeers{text});
+  }
 
-  Catalog catalog_;
-  std::minstd_rand chance_;
-  double instances_ = 1, primary_density_ = 1e-9;
-  bool stores_check_ = false, may_probe_ = false;
-  Millis now_ = 0, armed_ = kNever;
-  Millis next_watch_ = kNever, watch_pause_ = 0;
-  bool want_watch_ = false;
-  long turn_ = 0;
+  const Millis come_back_ =
+      catalog_.number("allow.longest_come_back") * (catalog_.number("allow.come_back") > 0);
+
+  double primary_density_ = 1e-9;
+  Millis now_ = 0, born_ = kNever, armed_ = kNever;
+  TimerId armed_as_;
+  Millis next_watch_ = kNever, watch_pause_ = 0, next_probe_ = 0;
+  bool want_watch_ = false, held_ = false;
+  std::vector<Member*> want_probes_, want_tells_;
   std::vector<Event> noted_;
   std::map<MemberId, Member> members_;
+  std::map<GroupId, Group> groups_;
+  std::map<long, Member*> marked_;  // none where two members share a mark
   std::map<OpId, Op> ops_;
   std::map<std::string, Millis> remembered_;
   Millis remembered_floor_ = kNever;
   std::map<std::pair<OpId, SendNumber>, Flight> flights_;
   std::map<OpTypeId, std::deque<Millis>> patiences_;  // of the last ops, by op type
   std::map<OpTypeId, std::deque<Millis>> latencies_;  // of the last answers, by op type
+  std::deque<Millis> short_latencies_;                // of the last answers of short work
 };
 
 }  // namespace
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -147,10 +147,14 @@
   MemberId member;
 };
 struct WatchList {};
+struct TellPeers {
+  std::string text;  // to every other instance
+};
 struct LogLine {
   std::string text;
 };
-using Decision = std::variant<Send, CallOff, BusyReply, ErrorReply, Wake, Probe, WatchList, LogLine>;
+using Decision =
+    std::variant<Send, CallOff, BusyReply, ErrorReply, Wake, Probe, WatchList, TellPeers, LogLine>;
 
 class Router {
  public:
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -138,6 +138,7 @@
   void operator()(const Wake& d) { line("Defer", {std::to_string(d.timer.number), ns(d.at)}); }
   void operator()(const Probe& d) { line("AskLoad", {quoted(d.member.address)}); }
   void operator()(const WatchList&) { line("KeepInformed", {"true"}); }
+  void operator()(const TellPeers& d) { line("Share", {"null", quoted(d.text)}); }
   void operator()(const LogLine& d) { line("WriteLog", {quoted(d.text)}); }
 };
 
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -55,6 +55,7 @@
   void operator()(const Wake&) const {}
   void operator()(const Probe& d) const { std::cout << "  probe " << d.member.address << '\n'; }
   void operator()(const WatchList&) const { std::cout << "  watch the list\n"; }
+  void operator()(const TellPeers& d) const { std::cout << "  tell " << d.text << '\n'; }
   void operator()(const LogLine& d) const { std::cout << "  log " << d.text << '\n'; }
 };
 
@@ -127,6 +128,11 @@
     line >> gone.op.number;
     return gone;
   }
+  if (word == "told") {
+    PeerSpoke spoke;
+    line >> spoke.text;
+    return spoke;
+  }
   if (word == "wake") return TimerDue{};
   throw std::runtime_error("unknown event " + word);
 }
