--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -96,7 +96,7 @@
   std::deque<Millis> ghosts;  // until when sends given up on may still be running there
   Millis proven = kNever;     // a position once shown holds
   Millis primary_at = kNever, replica_at = kNever;
-  Millis last_good = kNever, last_bad = kNever, op_bad = kNever, down_since = kNever, cold_since = kNever;
+  Millis last_good = kNever, probe_bad = kNever, op_bad = kNever, cold_since = kNever;
   Millis probe_out = kNever, next_probe = kNever, probe_pause = 0;
   Millis heard = kNever;  // when a sample last came, from anyone
   Millis turned_away_need = kForever, turned_away_at = kNever;
@@ -104,7 +104,7 @@
   Millis rest = 0, rest_until = kNever;
   double limit = 0, credit = 0;
   Millis credit_at = kNever;
-  int out = 0, long_out = 0;
+  int out = 0;
   long turn = 0, skips = 0;
   bool mine = false;  // the last sample came of this instance's probe
   Role said = Role::unknown;
@@ -193,7 +193,12 @@
       Member& member = at->second;
       member.entry = entry;
       if (is_new) {
-        touch(member).members.push_back(&member);
+        std::vector<Member*>& members = touch(member).members;
+        members.push_back(&member);
+        std::sort(members.begin(), members.end(), [](const Member* a, const Member* b) {
+          return std::pair(mark(a->entry.member), a->entry.member) <
+                 std::pair(mark(b->entry.member), b->entry.member);
+        });
         member.limit = std::max(1.0, 8 / instances_);
         // By chance, so that instances don't all begin with the same member, nor spend all credit at once.
         member.credit = roll();
@@ -258,7 +263,6 @@
     const Millis sent = flight->second.sent;
     flights_.erase(flight);
     if (--member.out == 0) member.oldest_out = kNever;
-    if (type.long_work) --member.long_out;
     const auto is = [&ended](auto... ending) { return ((ended.ending == ending) || ...); };
     if (is(Ending::acked, Ending::errored, Ending::turned_away_full, Ending::turned_away_untouched)) {
       good(member);
@@ -271,10 +275,7 @@
       keep(member.acked, now_, 1000);
       member.rest = 0;
     }
-    if (is(Ending::reset, Ending::connect_failed)) {
-      bad(member);
-      member.op_bad = now_;
-    }
+    if (is(Ending::reset, Ending::connect_failed)) member.op_bad = now_;
     if (is(Ending::acked, Ending::timed_out)) pace(member, sent_op.type, ended.took);
     // Guards against taking a member for free whose work goes on after a time-out or call-off: what was given
     // up on counts as out for as long again as such ops usually take.
@@ -313,8 +314,10 @@
       // All instances together go on probing such a member about as often as one would.
       member.probe_pause =
           std::clamp(member.probe_pause * 2, kProbePeriod, kProbePeriod * std::min(instances_, 16.0));
-      return bad(member);
+      member.probe_bad = now_;
+      return;
     }
+    member.probe_bad = kNever;
     good(member);
     // Probes that were sent for another reason than the pace tell the others nothing they need.
     if (may_tell_ && now_ - member.heard > kProbePeriod / 2 && ended.seen.position >= 0)
@@ -416,16 +419,14 @@
   const bool remembers_ = catalog_.word("tokens", "") == "remembered";
 
   // Guards against pushing over a member that restarted before the list told of it: one that comes back after
-  // failing for two seconds is taken for cold. Harm: one that was only cut off is used sparingly for a while.
+  // its ops failed and nobody heard of it for two seconds is taken for cold. Harm: one that was only cut off
+  // is used sparingly for a while.
   void good(Member& member) {
-    if (member.down_since != kNever && now_ - member.down_since > 2000) member.cold_since = now_;
-    member.down_since = kNever;
+    if (member.probe_bad > member.last_good) doubted_ = now_;
+    if (member.op_bad > member.last_good && now_ - std::max(member.last_good, member.heard) > 2000)
+      member.cold_since = now_;
     member.last_good = now_;
   }
-  void bad(Member& member) {
-    if (member.down_since == kNever) member.down_since = now_;
-    member.last_bad = now_;
-  }
 
   // The limit on what is out at a member follows the latency of its own answers: over 0.35 of their latency
   // target on average it shrinks, under 0.25 it grows. Tried with 0.45 and 0.35: more came late everywhere,
@@ -435,6 +436,7 @@
   void pace(Member& member, OpTypeId id, Millis took) {
     const OpType& type = type_of(id);
     keep(latencies_[id], took, 32);
+    keep(work_, {type.long_work, took}, 256);
     // Guards against members that are slow, be it for this instance only: after a late answer a member misses
     // turns, ever more until it answers well. Counted in turns, it suits busy and idle instances alike.
     if (!type.long_work) {
@@ -486,22 +488,28 @@
   const bool may_call_off_ = catalog_.number("allow.call_off") > 0;
 
   // No answer of any kind for longer than its answers usually take, with an op out all that time.
-  bool overdue(const Member& member) const {
+  bool overdue(const Member& member, double times = 2) const {
     if (member.oldest_out == kNever) return false;
     const Millis usual = quantile(member.latencies, 0.75, quantile(short_latencies_, 0.75, 100));
-    return now_ - std::max(member.last_good, member.oldest_out) > std::max(60.0, 2 * usual);
+    return now_ - std::max(member.last_good, member.oldest_out) > std::max(60.0, times * usual);
   }
 
   // Guards against members that hang, vanish or are cut off: a probe is answered beside the queue within a
   // few milliseconds, so a member that is overdue and whose probe failed or stays out for 50 ms with no
-  // answer since is silent, not busy.
+  // answer since is silent, not busy. Where probes are in doubt, being overdue twice over has to do.
   bool silent(const Member& member) const {
-    return (down(member) && member.op_bad > member.last_good) ||
-           (overdue(member) &&
-            (down(member) || (member.probe_out > member.last_good && now_ - member.probe_out > 50)));
+    const bool probe_late = member.probe_out > member.last_good && now_ - member.probe_out > 50;
+    return member.op_bad > member.last_good ||
+           (probes_count() ? overdue(member) && (down(member) || probe_late) : overdue(member, 4));
   }
 
-  bool down(const Member& member) const { return member.last_bad > member.last_good; }
+  // Guards against probes that fail while ops are answered: an answer from a member after its probe failed
+  // shows that failed probes say nothing for now (for 5 s: several such answers come in that time).
+  bool probes_count() const { return now_ - doubted_ > 5000; }
+
+  bool down(const Member& member) const {
+    return member.op_bad > member.last_good || (member.probe_bad > member.last_good && probes_count());
+  }
 
   bool sendable(const Member& member) const {
     if (member.drained || member.entry.state == MemberState::draining) return false;
@@ -610,8 +618,11 @@
       return primary_usable && has_room(*primary, type.long_work, spare) ? primary : nullptr;
     Member* best = nullptr;
     std::pair<int, long> best_rank;
+    long kept = type.long_work ? kept_for_long_work(group) : 0;
     for (Member* member : group.members) {
-      if (member == primary || !usable(*member) || !has_room(*member, type.long_work, spare)) continue;
+      if (member == primary) continue;
+      const bool keeps = sendable(*member) && !down(*member) && kept-- > 0;
+      if (!usable(*member) || !has_room(*member, type.long_work, spare)) continue;
       int tier = passes(*member, op, type) || likely(*member, op, type) ? 0 : 2;
       // Beyond the threshold, but proven all the same: better than asking a busy primary.
       if (tier && (type.needs == Needs::any || (type.needs == Needs::session && member->proven >= op.token)))
@@ -620,8 +631,7 @@
       if (zones_matter_ && member->entry.zone.number != zone_) tier += 2;
       if (down(*member)) tier += 4;
       std::pair<int, long> rank{tier, member->turn};
-      // Long work blocks the log where it runs: keep it together, on the member that holds most of it.
-      if (type.long_work) rank = {tier / 4 * 4, -member->long_out};
+      if (type.long_work) rank.first = tier / 4 * 4 + !keeps;
       if (!best || rank < best_rank) best = member, best_rank = rank;
     }
     if (best && best_rank.first < 4) return best;
@@ -633,6 +643,15 @@
     return primary_usable && has_room(*primary, type.long_work, part * spare) ? primary : best;
   }
 
+  // Long work blocks the log where it runs, so it is kept together: on the first replicas in the order of
+  // their marks, which all instances know without a word, and on as many as is its part of all work.
+  long kept_for_long_work(const Group& group) const {
+    Millis all = 1, of_long = 0;
+    for (const auto& [is_long, took] : work_) all += took, of_long += is_long ? took : 0;
+    const double members = static_cast<double>(group.members.size());
+    return std::max(1L, std::lround(std::min(0.5, of_long / all) * members));
+  }
+
   // Until when an answer is of use.
   static Millis useful_until(const Op& op, const OpType& type) {
     return type.late_value > 0 ? op.end : std::min(op.end, op.wanted_by);
@@ -676,7 +695,6 @@
     if (!to) return;
     op.want = Want::send, op.to = to;
     ++to->out;
-    if (type.long_work) ++to->long_out;
     if (warmth(*to) < 1) to->credit -= 1;
     Group& group = groups_[op.group];
     to->turn = ++group.turn + to->skips * static_cast<long>(group.members.size());
@@ -691,7 +709,7 @@
   // once when an op is overdue there.
   Millis probe_at(const Group& group, const Member& member) const {
     if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
-    if (overdue(member) && member.last_bad < member.oldest_out && member.next_probe <= now_) return now_;
+    if (overdue(member) && member.probe_bad < member.oldest_out && member.next_probe <= now_) return now_;
     Millis at = std::max(member.heard, born_ - kProbePeriod) + kProbePeriod + (member.mine ? 0 : group.wait);
     if (group.asked) at = std::min(at, member.heard + kSampleAge / 2);
     return std::max(at, member.next_probe);
@@ -750,7 +768,7 @@
       if (!flight.want_call_off || flight.called_off) continue;
       out.push_back(CallOff{key.first, key.second});
       flight.called_off = true;
-      flight.member->op_bad = flight.member->last_bad = now_;
+      flight.member->op_bad = now_;
     }
     std::vector<OpId> ended;
     for (auto& [id, op] : ops_) {
@@ -810,6 +828,8 @@
   std::map<OpTypeId, std::deque<Millis>> patiences_;  // of the last ops, by op type
   std::map<OpTypeId, std::deque<Millis>> latencies_;  // of the last answers, by op type
   std::deque<Millis> short_latencies_;                // of the last answers of short work
+  std::deque<std::pair<bool, Millis>> work_;          // of the last answers: whether long, latency
+  Millis doubted_ = kNever;                           // when probes were last found wrong
 };
 
 }  // namespace
