--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -103,9 +103,10 @@
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   Millis rest = 0, rest_until = kNever;
   double limit = 0, credit = 0;
+  Millis yielded = kNever;
   Millis credit_at = kNever;
   int out = 0;
-  long turn = 0, skips = 0;
+  long turn = 0;
   bool mine = false;  // the last sample came of this instance's probe
   Role said = Role::unknown;
 };
@@ -126,6 +127,7 @@
   GroupId group;
   std::string session;
   Millis wanted_by = 0, end = 0, token = kNever;
+  double chance = 0;             // drawn once
   Millis may_have_run = kNever;  // when the first send went out that may have run
   int sends = 0, out = 0;
   Want want = Want::hold;
@@ -224,6 +226,7 @@
     // A millisecond to the cautious side: positions are rounded down, ages may be rounded either way.
     if (arrived.token_age > 0) op.token = now_ - std::floor(arrived.token_age) + 1;
     op.session = arrived.session;
+    op.chance = roll();
     op.token = std::max(op.token, remembered_floor_);
     if (const auto mine = remembered_.find(arrived.session); mine != remembered_.end())
       op.token = std::max(op.token, mine->second);
@@ -283,9 +286,8 @@
       member.ghosts.push_back(now_ + quantile(latencies_[sent_op.type], 0.5, type.target / 4));
     if (is(Ending::turned_away_full, Ending::errored)) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them:
-      // it misses turns and rests, longer each time (25 ms is a few batches, 800 ms four probes), until it
-      // acks.
-      miss_turns(member);
+      // it rests, longer each time (25 ms is a few batches, 800 ms four probes), until it acks.
+      yield(member);
       member.limit = std::max(floor(), member.limit * 0.85);
       if (now_ >= member.rest_until) member.rest = std::clamp(member.rest * 2, 25.0, 800.0);
       member.rest_until = now_ + member.rest;
@@ -437,13 +439,11 @@
     const OpType& type = type_of(id);
     keep(latencies_[id], took, 32);
     keep(work_, {type.long_work, took}, 256);
-    // Guards against members that are slow, be it for this instance only: after a late answer a member misses
-    // turns, ever more until it answers well. Counted in turns, it suits busy and idle instances alike.
     if (!type.long_work) {
       keep(member.latencies, took, 16);
       keep(short_latencies_, took, 32);
-      if (took < 0.5 * type.target) member.skips = 0;
-      if (took > type.target) miss_turns(member);
+      if (took > type.target) yield(member);
+      if (took < 0.5 * type.target && member.limit < 1) member.limit = std::min(1.0, member.limit + 0.3);
     }
     member.paces.push_back(took / std::max(1.0, type.target));
     if (member.paces.size() < 10) return;
@@ -453,13 +453,19 @@
     member.paces.clear();
   }
 
-  void miss_turns(Member& member) {
-    member.skips = std::clamp(member.skips * 2, 1L, 8L);
-    member.turn += member.skips * static_cast<long>(touch(member).members.size());
+  // Where instances are many, each has too few ops at a member to limit by their number. A limit under one is
+  // the chance that an op may go there, and follows single answers: the sum over all instances goes by what
+  // the member can do. Guards against slow, full or overloaded members, be it for this instance only, against
+  // reads falling back onto primaries, and overload. Harm: after one slow answer by chance a member is
+  // spared.
+  void yield(Member& member) {
+    if (floor() >= 1) return;
+    member.limit = std::max(floor(), std::min(member.limit, 1.0) * 0.3);
+    member.yielded = now_;
   }
 
   // Any server runs a few ops at once; the instances share it.
-  double floor() const { return std::max(1.0, 4 / instances_); }
+  double floor() const { return 4 / instances_; }
 
   // ---- members ----
 
@@ -550,11 +556,14 @@
   static constexpr Millis kCarried = 5000;  // long enough for some ops of an idle instance
   const double fall_multiple_ = catalog_.number("rule.fall_multiple", 2);
 
-  bool has_room(Member& member, bool long_work, double part) {
+  static constexpr double kRegain = 1e-5;  // with no answer at all a member is back in 100 s
+  bool has_room(Member& member, const Op& op, bool long_work, double part) {
     const double share = warmth(member);
     std::erase_if(member.ghosts, [this](Millis until) { return until <= now_; });
     const double out = member.out + static_cast<double>(member.ghosts.size());
-    if (out + 0.5 > std::max(1.0, member.limit * part * share)) return false;
+    const double limit = member.limit * part * share;
+    if (out + 0.5 > std::max(1.0, limit) || op.chance > limit + kRegain * (now_ - member.yielded))
+      return false;
     if (share >= 1) return true;
     const Millis since = std::max(std::exchange(member.credit_at, now_), member.cold_since);
     member.credit = std::min(1.0, member.credit + (now_ - since) * cold_rate(member));
@@ -615,14 +624,14 @@
     // An op past its latency target is of little value: it goes only where half the limit is free.
     const double spare = now_ > op.wanted_by ? 0.5 : 1;
     if (type.primary_only())
-      return primary_usable && has_room(*primary, type.long_work, spare) ? primary : nullptr;
+      return primary_usable && has_room(*primary, op, type.long_work, spare) ? primary : nullptr;
     Member* best = nullptr;
     std::pair<int, long> best_rank;
     long kept = type.long_work ? kept_for_long_work(group) : 0;
     for (Member* member : group.members) {
       if (member == primary) continue;
       const bool keeps = sendable(*member) && !down(*member) && kept-- > 0;
-      if (!usable(*member) || !has_room(*member, type.long_work, spare)) continue;
+      if (!usable(*member) || !has_room(*member, op, type.long_work, spare)) continue;
       int tier = passes(*member, op, type) || likely(*member, op, type) ? 0 : 2;
       // Beyond the threshold, but proven all the same: better than asking a busy primary.
       if (tier && (type.needs == Needs::any || (type.needs == Needs::session && member->proven >= op.token)))
@@ -640,7 +649,7 @@
     // their time as what only it can do: the rest is kept for that. Guards the primary when replicas fall
     // behind.
     const double part = 0.5 + 0.3 * std::min(1.0, type.density() / primary_density_);
-    return primary_usable && has_room(*primary, type.long_work, part * spare) ? primary : best;
+    return primary_usable && has_room(*primary, op, type.long_work, part * spare) ? primary : best;
   }
 
   // Long work blocks the log where it runs, so it is kept together: on the first replicas in the order of
@@ -696,8 +705,7 @@
     op.want = Want::send, op.to = to;
     ++to->out;
     if (warmth(*to) < 1) to->credit -= 1;
-    Group& group = groups_[op.group];
-    to->turn = ++group.turn + to->skips * static_cast<long>(group.members.size());
+    to->turn = ++groups_[op.group].turn;
   }
   const double most_sends_ = catalog_.number("allow.sends_per_op", 1);
   const Millis tick_ = catalog_.number("tick", 5);
