--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -27,11 +27,9 @@
 struct OpType {
   Effect effect = Effect::non_retryable;
   Needs needs = Needs::write;
-  bool group_tokens = true;
-  bool long_work = false;
+  bool group_tokens = true, long_work = false;
   Millis target = 0, op_timeout = 0, bound = 0, token_memory = 0;
   double value = 1, late_value = 0;
-
   bool primary_only() const { return needs == Needs::write || needs == Needs::current; }
   // Value for the time it takes, for which the latency target stands: both are known before anything has run.
   double density() const { return value / std::max(1.0, target); }
@@ -40,9 +38,10 @@
 // What the deployment states at start.
 struct Catalog {
   explicit Catalog(const Values& values) : values_(values) {
+    std::vector<Millis> targets;
     for (int i = 0; i < static_cast<int>(number("op_types", 0)); ++i) {
       const std::string at = "op_type." + std::to_string(i) + ".";
-      OpType type;
+      OpType& type = op_types.emplace_back();
       type.effect = static_cast<Effect>(place(word(at + "effect", ""), {"retryable", "tokened"}));
       type.needs =
           static_cast<Needs>(place(word(at + "needs", ""), {"any", "bounded", "session", "current"}));
@@ -53,10 +52,8 @@
       type.token_memory = number(at + "token_memory", 0);
       type.value = number(at + "value", 1);
       type.late_value = number(at + "late_value", 0);
-      op_types.push_back(type);
+      targets.push_back(type.target);
     }
-    std::vector<Millis> targets;
-    for (const OpType& type : op_types) targets.push_back(type.target);
     std::sort(targets.begin(), targets.end());
     // Long work: wanted far later than the usual op; five times the median sets reports apart from look-ups.
     for (OpType& type : op_types) type.long_work = type.target > 5 * targets[targets.size() / 2];
@@ -72,7 +69,6 @@
     const T* value = found == values_.end() ? nullptr : std::get_if<T>(&found->second);
     return value ? *value : other;
   }
-  // The place of a word among others, behind them all if it is none of them.
   static long place(const std::string& word, std::initializer_list<const char*> words) {
     return std::find(words.begin(), words.end(), word) - words.begin();
   }
@@ -91,33 +87,27 @@
   bool listed = false, drained = false;
   std::deque<std::pair<Millis, Millis>> samples;  // the last few: position and when seen
   std::deque<double> paces;  // latency over latency target of the last answers, since the limit last moved
-  std::deque<Millis> latencies;  // of the last answers of short work
-  std::deque<Millis> acked;
-  std::deque<Millis> ghosts;  // until when sends given up on may still be running there
-  Millis proven = kNever;     // a position once shown holds
-  Millis primary_at = kNever, replica_at = kNever;
+  std::deque<Millis> latencies, acked;  // of the last answers of short work; when ops were acked
+  Millis proven = kNever;               // a position once shown holds
+  Millis primary_at = kNever, replica_at = kNever, heard = kNever;  // heard: of a sample from anyone
   Millis last_good = kNever, probe_bad = kNever, op_bad = kNever, cold_since = kNever;
   Millis probe_out = kNever, next_probe = kNever, probe_pause = 0;
-  Millis heard = kNever;  // when a sample last came, from anyone
-  Millis turned_away_need = kForever, turned_away_at = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   Millis rest = 0, rest_until = kNever;
   double limit = 0, credit = 0;
-  Millis yielded = kNever;
-  Millis credit_at = kNever;
+  Millis yielded = kNever, credit_at = kNever;
   int out = 0;
   long turn = 0;
-  bool mine = false;  // the last sample came of this instance's probe
   Role said = Role::unknown;
 };
 
 struct Group {
-  std::vector<Member*> members;
-  Millis wait = 0;  // how much longer than the usual pace others are given to tell of it
-  long turn = 0;
-  bool asked = false;  // an op waits for a sample
-  bool touched = true;
+  std::vector<Member*> members;  // in the order of their marks
+  Millis wait = 0;               // how much longer than the usual pace others are given to tell of it
   Millis next_probe = 0;
+  bool asked = false, touched = true;  // asked: an op waits for a sample
+  bool mine = false;                   // this instance keeps the pace for all
+  long turn = 0;
 };
 
 enum class Want { hold, send, busy_reply, error_reply };
@@ -178,8 +168,6 @@
     return group;
   }
 
-  // ---- what is learned from events ----
-
   void learn(const ListRead& read) {
     if (read.kind == ListKind::failed) {
       // Ask again soon, then ever more rarely: the list is one service for all instances.
@@ -213,36 +201,31 @@
       member.listed = entry.state != MemberState::gone;
       if (entry.state == MemberState::draining) member.drained = true;
       if (entry.state == MemberState::ready) member.drained = false;
-      if (entry.up_since > 0) member.cold_since = std::max(member.cold_since, entry.up_since);
+      if (entry.up_since <= member.cold_since || entry.up_since <= 0) continue;
+      member.cold_since = entry.up_since;
+      member.next_probe = now_;
     }
   }
 
   void learn(const OpArrived& arrived) {
-    Op op;
-    op.type = arrived.type;
-    op.group = arrived.group;
+    Op& op = ops_[arrived.op] = {arrived.type, arrived.group, arrived.session};
     op.end = now_ + arrived.patience;
     op.wanted_by = now_ + type_of(op.type).target - waited(arrived);
     // A millisecond to the cautious side: positions are rounded down, ages may be rounded either way.
     if (arrived.token_age > 0) op.token = now_ - std::floor(arrived.token_age) + 1;
-    op.session = arrived.session;
     op.chance = roll();
     op.token = std::max(op.token, remembered_floor_);
     if (const auto mine = remembered_.find(arrived.session); mine != remembered_.end())
       op.token = std::max(op.token, mine->second);
-    ops_[arrived.op] = op;
   }
 
-  // How long the client has been asking already, the latency target running since its first try. A first try
-  // is given up after a fixed part of the op timeout, so first tries share one patience; any other patience
-  // is what is left of the op timeout. Where no patience is common to a quarter of the last ops, or hardly
-  // any has come, nothing is concluded. Guards against repeats crowding out first tries. Harm: clients whose
-  // patience differs by itself.
+  // How long the client has been asking already, the latency target running since its first try. First tries
+  // share one patience; any other is what is left of the op timeout. Where no patience is common to a quarter
+  // of the last ops, nothing is concluded. Guards against repeats crowding out first tries.
   Millis waited(const OpArrived& arrived) {
     const OpType& type = type_of(arrived.type);
-    std::deque<Millis>& last = patiences_[arrived.type];
-    keep(last, arrived.patience, 64);
-    std::deque<Millis> sorted = last;
+    keep(patiences_[arrived.type], arrived.patience, 64);
+    std::deque<Millis> sorted = patiences_[arrived.type];
     std::sort(sorted.begin(), sorted.end());
     std::size_t common = 0;
     Millis usual = 0;
@@ -261,17 +244,16 @@
     if (flight == flights_.end()) return;
     Member& member = *flight->second.member;
     touch(member);
-    const Op sent_op = flight->second.op;
+    const auto [to, sent_op, sent, called_off, want_call_off] = flight->second;
     const OpType& type = type_of(sent_op.type);
-    const Millis sent = flight->second.sent;
     flights_.erase(flight);
     if (--member.out == 0) member.oldest_out = kNever;
     const auto is = [&ended](auto... ending) { return ((ended.ending == ending) || ...); };
     if (is(Ending::acked, Ending::errored, Ending::turned_away_full, Ending::turned_away_untouched)) {
       good(member);
-      const bool commit = is(Ending::acked) && type.needs == Needs::write;
       const bool dated = ended.seen.role == Role::primary && ended.seen.position >= 0;
-      see(member, ended.seen, dated ? ended.seen.position : now_, now_, commit);
+      see(member, ended.seen, dated ? ended.seen.position : now_, now_,
+          is(Ending::acked) && type.needs == Needs::write);
     }
     if (is(Ending::acked)) {
       remember(sent_op.session, ended, type);
@@ -280,10 +262,6 @@
     }
     if (is(Ending::reset, Ending::connect_failed)) member.op_bad = now_;
     if (is(Ending::acked, Ending::timed_out)) pace(member, sent_op.type, ended.took);
-    // Guards against taking a member for free whose work goes on after a time-out or call-off: what was given
-    // up on counts as out for as long again as such ops usually take.
-    if (is(Ending::timed_out, Ending::called_off))
-      member.ghosts.push_back(now_ + quantile(latencies_[sent_op.type], 0.5, type.target / 4));
     if (is(Ending::turned_away_full, Ending::errored)) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them:
       // it rests, longer each time (25 ms is a few batches, 800 ms four probes), until it acks.
@@ -295,35 +273,30 @@
     const auto found = ops_.find(ended.op);
     if (found == ops_.end()) return;
     Op& op = found->second;
-    if (is(Ending::turned_away_untouched)) {
-      if (type.needs == Needs::write) member.replica_at = now_;
-      member.turned_away_need = std::min(need(op, type), member.turned_away_need);
-      member.turned_away_at = now_;
-    }
+    if (is(Ending::turned_away_untouched) && type.needs == Needs::write) member.replica_at = now_;
     --op.out;
-    const bool proven_not_run = is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent,
-                                   Ending::turned_away_untouched);
-    if (!proven_not_run && op.may_have_run == kNever) op.may_have_run = sent;
+    if (!is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent,
+            Ending::turned_away_untouched) &&
+        op.may_have_run == kNever)
+      op.may_have_run = sent;
     if (ended.op_ended) ops_.erase(found);
   }
 
   void learn(const ProbeEnded& ended) {
     Member& member = members_[ended.member];
     member.probe_out = kNever;
-    member.mine = ended.answered && may_tell_;
-    if (Group& group = touch(member); !may_tell_) group.wait = patience();
-    if (!ended.answered) {
-      // All instances together go on probing such a member about as often as one would.
-      member.probe_pause =
-          std::clamp(member.probe_pause * 2, kProbePeriod, kProbePeriod * std::min(instances_, 16.0));
-      member.probe_bad = now_;
-      return;
-    }
-    member.probe_bad = kNever;
-    good(member);
+    Group& group = touch(member);
+    if (!may_tell_) group.wait = patience();
+    // All instances together go on probing a member that fails about as often as one would; where others tell
+    // of it sooner, ever more rarely.
+    const Millis longest = kProbePeriod * std::min(instances_, may_tell_ ? 64.0 : 16.0);
+    member.probe_pause = ended.answered ? 0 : std::clamp(member.probe_pause * 2, kProbePeriod, longest);
+    member.probe_bad = ended.answered ? kNever : now_;
     // Probes that were sent for another reason than the pace tell the others nothing they need.
-    if (may_tell_ && now_ - member.heard > kProbePeriod / 2 && ended.seen.position >= 0)
-      want_tells_.push_back(&member);
+    const bool due = now_ - member.heard > kProbePeriod * (group.mine ? 0.5 : 1);
+    if (!ended.answered) return;
+    good(member);
+    if (may_tell_ && due && ended.seen.position >= 0) want_tells_.push_back(&member), group.mine = true;
     see(member, ended.seen, ended.seen.position, now_);
     member.said = ended.seen.role;
   }
@@ -333,7 +306,6 @@
     if (due.timer == armed_as_) armed_ = kNever;
   }
 
-  // ---- what instances tell each other ----
   // A position once shown holds whoever saw it, so samples are shared; health is not, it is of the path.
   // "r1", the sender's clock (5 digits, ms), then by member: mark (4), lag in kLagUnit (2), role (1).
 
@@ -363,8 +335,8 @@
     return static_cast<long>((hash ^ hash >> 24) & 0xffffff);
   }
 
-  // Guards against peers that are of another version, late or wrong: what does not read as a whole, is over
-  // a second old or from the future is dropped, as are members that are unknown or share a mark.
+  // Guards against peers of another version, late or wrong: what does not read as a whole, is over a second
+  // old or from the future is dropped, as are members that are unknown or share a mark.
   void learn(const PeerSpoke& spoke) {
     const std::string_view text = spoke.text;
     if (text.size() > kLongest || text.size() <= kHeader || (text.size() - kHeader) % kEntry != 0) return;
@@ -380,22 +352,24 @@
           then <= found->second->heard)
         continue;
       Member& member = *found->second;
-      member.mine = false;
-      member.probe_pause = 0;
-      touch(member).wait = patience();
+      if (down(member)) member.next_probe = now_;
+      Group& group = touch(member);
+      group.wait = patience();
+      group.mine = group.mine && rank_ < spoke.peer;  // of two that keep the pace one goes on
       const Millis position = lag < kLags - 1 ? then - static_cast<double>(lag) * kLagUnit : -1;
       see(member, {static_cast<Role>(role), position}, position, then);
     }
   }
 
-  // How much longer than the usual pace another instance is given to tell first: drawn by each, so that few
-  // speak at once (50 ms is what a message takes at the most, 10 ms what sets two apart). Where
-  // none can tell, all together keep the pace of one.
+  // How much longer than the usual pace others are given to tell first, drawn by each so that few speak at
+  // once: a message takes up to 50 ms, 10 ms set two apart. Where none can tell, all keep the pace of one
+  // together.
   Millis patience() {
     if (instances_ <= 1) return 0;
     return may_tell_ ? 50 + 10 * instances_ * roll() : 2 * kProbePeriod * (instances_ - 1) * roll();
   }
 
+  const double rank_ = catalog_.number("rank");
   const bool may_probe_ = catalog_.number("allow.probes") > 0;
   const bool may_tell_ = instances_ > 1 && catalog_.number("allow.peers") > 0;
 
@@ -407,7 +381,6 @@
     if (seen.position < 0) return;
     member.proven = std::max(member.proven, seen.position - (commit ? 1 : 0));  // a commit is rounded up
     keep(member.samples, {member.proven, at}, 3);
-    if (member.proven >= member.turned_away_need) member.turned_away_need = kForever;
   }
 
   // The design leaves open how long tokens are kept. All are; when there are many, they are folded into one
@@ -431,10 +404,9 @@
   }
 
   // The limit on what is out at a member follows the latency of its own answers: over 0.35 of their latency
-  // target on average it shrinks, under 0.25 it grows. Tried with 0.45 and 0.35: more came late everywhere,
-  // for work varies so much that a mean of half the target leaves a quarter of answers over it. Guards
-  // against full queues, neighbours, slow members and fallbacks onto a primary; when all are slow the floor
-  // keeps work going. Harm: op types whose latency target says little of their work.
+  // target on average it shrinks, under 0.25 it grows (with 0.45 and 0.35 more came late everywhere). Guards
+  // against full queues, slow members and fallbacks onto a primary; the floor keeps work going when all are
+  // slow. Harm: op types whose latency target says little of their work.
   void pace(Member& member, OpTypeId id, Millis took) {
     const OpType& type = type_of(id);
     keep(latencies_[id], took, 32);
@@ -467,8 +439,6 @@
   // Any server runs a few ops at once; the instances share it.
   double floor() const { return 4 / instances_; }
 
-  // ---- members ----
-
   const OpType& type_of(OpTypeId type) const {
     return catalog_.op_types.at(static_cast<std::size_t>(type.number));
   }
@@ -539,10 +509,9 @@
   const Millis warm_within_ = catalog_.number("rule.warm_within");
   const double cold_from_ = catalog_.number("rule.cold_from", 1);
 
-  // Guards against pushing over a cold member: in a millisecond this instance sends it at most half the
-  // rule's multiple of its share of what a warm member of its kind answered this instance of late. That may
-  // be far under one op; the sum over any number of instances is half the rule's multiple of what warm
-  // members carry.
+  // Guards against pushing over a cold member: in a millisecond this instance sends it at most three quarters
+  // of the rule's multiple (the rest is for chance) of its share of what a warm member of its kind answered
+  // this instance of late. That may be far under one op; the sum over all instances keeps the rule.
   double cold_rate(const Member& member) {
     std::size_t carried = 0, warm = 0;
     for (auto& [id, other] : members_) {
@@ -551,7 +520,7 @@
       carried += other.acked.size(), ++warm;
     }
     const double each = static_cast<double>(carried) / std::max(1.0, static_cast<double>(warm)) / kCarried;
-    return warmth(member) * fall_multiple_ / 2 * each;
+    return warmth(member) * fall_multiple_ * 0.75 * each;
   }
   static constexpr Millis kCarried = 5000;  // long enough for some ops of an idle instance
   const double fall_multiple_ = catalog_.number("rule.fall_multiple", 2);
@@ -559,10 +528,8 @@
   static constexpr double kRegain = 1e-5;  // with no answer at all a member is back in 100 s
   bool has_room(Member& member, const Op& op, bool long_work, double part) {
     const double share = warmth(member);
-    std::erase_if(member.ghosts, [this](Millis until) { return until <= now_; });
-    const double out = member.out + static_cast<double>(member.ghosts.size());
     const double limit = member.limit * part * share;
-    if (out + 0.5 > std::max(1.0, limit) || op.chance > limit + kRegain * (now_ - member.yielded))
+    if (member.out + 0.5 > std::max(1.0, limit) || op.chance > limit + kRegain * (now_ - member.yielded))
       return false;
     if (share >= 1) return true;
     const Millis since = std::max(std::exchange(member.credit_at, now_), member.cold_since);
@@ -582,15 +549,6 @@
     return nullptr;
   }
 
-  // ---- ops ----
-
-  // The position that an op asks of a replica.
-  Millis need(const Op& op, const OpType& type) const {
-    if (type.needs == Needs::bounded) return now_ - type.bound;
-    if (type.needs == Needs::session) return op.token;
-    return type.needs == Needs::any ? kNever : now_;
-  }
-
   // The design's three tests.
   bool passes(const Member& member, const Op& op, const OpType& type) const {
     if (member.samples.empty() || now_ - member.samples.back().second > kSampleAge) return false;
@@ -599,16 +557,14 @@
   }
 
   // Where stores check reads themselves, a replica is tried when it would pass if it now lags as it did in
-  // the best of its last samples: a report is itself old, so the least lag seen comes nearest to the truth.
-  // That holds however old the samples: the store's own word costs less than a probe.
+  // the best of its last samples (a report is itself old), however old they are: the store's word costs no
+  // probe.
   bool likely(const Member& member, const Op& op, const OpType& type) const {
     if (!stores_check_) return false;
-    if (member.samples.empty()) return now_ - member.turned_away_at > kSampleAge;
-    Millis lag = kForever;
+    Millis lag = member.samples.empty() ? 0 : kForever;
     for (const auto& [position, seen] : member.samples) lag = std::min(lag, seen - position);
-    const Millis wanted = need(op, type);
-    if (now_ - member.turned_away_at < kProbePeriod && wanted >= member.turned_away_need) return false;
-    return now_ - lag >= wanted;
+    const Millis wanted = type.needs == Needs::bounded ? now_ - type.bound : op.token;
+    return type.needs == Needs::any || now_ - lag >= wanted;
   }
 
   const bool stores_check_ = catalog_.word("checks", "none") != "none";
@@ -621,17 +577,15 @@
     Member* primary = primary_of(group);
     if (!primary) group.asked = true;
     const bool primary_usable = primary && usable(*primary);
-    // An op past its latency target is of little value: it goes only where half the limit is free.
-    const double spare = now_ > op.wanted_by ? 0.5 : 1;
     if (type.primary_only())
-      return primary_usable && has_room(*primary, op, type.long_work, spare) ? primary : nullptr;
+      return primary_usable && has_room(*primary, op, type.long_work, 1) ? primary : nullptr;
     Member* best = nullptr;
     std::pair<int, long> best_rank;
     long kept = type.long_work ? kept_for_long_work(group) : 0;
     for (Member* member : group.members) {
       if (member == primary) continue;
       const bool keeps = sendable(*member) && !down(*member) && kept-- > 0;
-      if (!usable(*member) || !has_room(*member, op, type.long_work, spare)) continue;
+      if (!usable(*member) || !has_room(*member, op, type.long_work, 1)) continue;
       int tier = passes(*member, op, type) || likely(*member, op, type) ? 0 : 2;
       // Beyond the threshold, but proven all the same: better than asking a busy primary.
       if (tier && (type.needs == Needs::any || (type.needs == Needs::session && member->proven >= op.token)))
@@ -645,11 +599,10 @@
     }
     if (best && best_rank.first < 4) return best;
     if (!best && !stores_check_) group.asked = true;
-    // A primary takes reads into half its limit, and up to 0.8 of it as they come to be of as much value for
-    // their time as what only it can do: the rest is kept for that. Guards the primary when replicas fall
-    // behind.
+    // A primary takes reads into half its limit, up to 0.8 of it as they come to be of as much value for
+    // their time as what only it can do. Guards the primary when replicas fall behind.
     const double part = 0.5 + 0.3 * std::min(1.0, type.density() / primary_density_);
-    return primary_usable && has_room(*primary, op, type.long_work, part * spare) ? primary : best;
+    return primary_usable && has_room(*primary, op, type.long_work, part) ? primary : best;
   }
 
   // Long work blocks the log where it runs, so it is kept together: on the first replicas in the order of
@@ -689,10 +642,9 @@
         op.sends < most_sends_ &&
         (!ran || type.effect == Effect::retryable ||
          (type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50));
-    // What can't be answered in time by the usual latency is ended: by the upper quartile, for where ops wait
-    // for room, another makes better use of it. Never by more than 0.6 of the latency target: samples of a
-    // bad time would end every op, and with none sent no better sample could come. Guards against sends that
-    // come to nothing, and against locking itself out after a slow spell.
+    // What can't be answered in time by the usual latency is ended: by the upper quartile, for another makes
+    // better use of the room; never by more than 0.6 of the latency target, or samples of a bad time would
+    // end every op. Guards against sends that come to nothing, and against a lock-out after a slow spell.
     const Millis expected = std::min(quantile(latencies_[op.type], 0.75, 0), type.target * 0.6);
     if (!may_send || now_ + std::max(expected, 2 * tick_) > useful_until(op, type)) {
       const bool harmless =
@@ -710,15 +662,14 @@
   const double most_sends_ = catalog_.number("allow.sends_per_op", 1);
   const Millis tick_ = catalog_.number("tick", 5);
 
-  // ---- probes ----
-
-  // When the next probe of a member is due. Its part of the pace falls to this instance when it was the last
-  // to tell of the member, or when others leave it untold. Beside that: when an op waits for a sample, and at
-  // once when an op is overdue there.
+  // When the next probe of a member is due. The pace is kept by the instance that was the last to tell of the
+  // member, or by others when it is left untold; probes come sooner when an op waits for a sample, failed or
+  // is overdue there.
   Millis probe_at(const Group& group, const Member& member) const {
     if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
-    if (overdue(member) && member.probe_bad < member.oldest_out && member.next_probe <= now_) return now_;
-    Millis at = std::max(member.heard, born_ - kProbePeriod) + kProbePeriod + (member.mine ? 0 : group.wait);
+    if (overdue(member) && member.probe_bad < member.oldest_out) return std::max(now_, member.next_probe);
+    if (member.op_bad > std::max(member.last_good, member.probe_bad)) return member.next_probe;
+    Millis at = std::max(member.heard, born_ - kProbePeriod) + kProbePeriod + (group.mine ? 0 : group.wait);
     if (group.asked) at = std::min(at, member.heard + kSampleAge / 2);
     return std::max(at, member.next_probe);
   }
@@ -743,12 +694,10 @@
     // What this instance tells of a group goes into one message.
     if (!due) return;
     for (Member* member : group.members)
-      if (probe_at(group, *member) - (member->mine ? kProbePeriod / 2 : 0) <= now_)
+      if (probe_at(group, *member) - (group.mine ? kProbePeriod / 2 : 0) <= now_)
         want_probes_.push_back(member);
   }
 
-  // ---- the list ----
-
   // The first calls are spread, for the list is one service for all instances.
   void decide_list() {
     if (!ask_) return;
@@ -758,14 +707,9 @@
   const bool ask_ = catalog_.word("list", "push") == "ask";
   const Millis ask_within_ = catalog_.number("rule.ask_within", 10000);
 
-  // ---- from wanted to done ----
-
   std::vector<Decision> emit() {
     std::vector<Decision> out;
-    if (std::exchange(want_watch_, false)) {
-      out.push_back(WatchList{});
-      next_watch_ = kForever;
-    }
+    if (std::exchange(want_watch_, false)) out.push_back(WatchList{}), next_watch_ = kForever;
     for (Member* member : std::exchange(want_probes_, {})) {
       out.push_back(Probe{member->entry.member});
       member->probe_out = now_;
@@ -783,8 +727,7 @@
       if (op.want == Want::send) {
         out.push_back(Send{id, op.to->entry.member, op.end - now_});
         flights_[{id, {op.sends}}] = {op.to, op, now_};
-        ++op.sends;
-        ++op.out;
+        ++op.sends, ++op.out;
       } else if (op.want != Want::hold) {
         op.want == Want::busy_reply ? out.push_back(BusyReply{id, come_back_})
                                     : out.push_back(ErrorReply{id});
@@ -796,8 +739,7 @@
     if (!ops_.empty()) wake = std::min(wake, now_ + (held_ ? 10 : 20));
     wake = std::clamp(wake, now_ + tick_, now_ + 1000);
     if (armed_ == kNever || wake < armed_) {
-      ++armed_as_.number;
-      out.push_back(Wake{armed_as_, wake});
+      out.push_back(Wake{{++armed_as_.number}, wake});
       armed_ = wake;
     }
     return out;
@@ -811,7 +753,7 @@
       const long lag = static_cast<long>(std::ceil((static_cast<double>(now) - member->proven) / kLagUnit));
       text += digits(mark(member->entry.member), 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
       text += digits(static_cast<long>(member->said), 1);
-      if (text.size() + kEntry > kLongest) out.push_back(TellPeers{std::exchange(text, "")});
+      if (text.size() + kEntry > kLongest) break;  // the rest is told when its turn comes again
     }
     if (!text.empty()) out.push_back(TellPeers{text});
   }
