--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -102,11 +102,10 @@
 };
 
 struct Group {
-  std::vector<Member*> members;  // in the order of their marks
-  Millis wait = 0;               // how much longer than the usual pace others are given to tell of it
-  Millis next_probe = 0;
-  bool asked = false, touched = true;  // asked: an op waits for a sample
-  bool mine = false;                   // this instance keeps the pace for all
+  std::vector<Member*> members;         // in the order of their marks
+  Millis wait = 0;                      // how much longer than the usual pace others are given to tell of it
+  bool asked = false, touched = false;  // asked: an op waits for a sample
+  bool mine = false;                    // this instance keeps the pace for all
   long turn = 0;
 };
 
@@ -162,11 +161,12 @@
     return static_cast<double>(chance_() - chance_.min()) / static_cast<double>(chance_.max());
   }
 
-  Group& touch(const Member& member) {
-    Group& group = groups_[member.entry.group];
-    group.touched = true;
+  // Work is done for the groups that something happened to.
+  Group& touch(Group& group) {
+    if (!std::exchange(group.touched, true)) touched_.push_back(&group);
     return group;
   }
+  Group& touch(const Member& member) { return touch(groups_[member.entry.group]); }
 
   void learn(const ListRead& read) {
     if (read.kind == ListKind::failed) {
@@ -194,8 +194,11 @@
         member.credit = roll();
         member.credit_at = now_;
         member.turn = touch(member).turn - static_cast<long>(100 * roll());
-        Member*& marked = marked_.try_emplace(mark(entry.member), &member).first->second;
-        if (marked != &member) marked = nullptr;
+        const std::pair<long, Member*> marked{mark(entry.member), &member};
+        const auto next =
+            std::lower_bound(marked_.begin(), marked_.end(), std::pair(marked.first, (Member*)nullptr));
+        const bool shared = next != marked_.end() && next->first == marked.first;
+        shared ? void(next->second = nullptr) : void(marked_.insert(next, marked));
       }
       touch(member);
       member.listed = entry.state != MemberState::gone;
@@ -347,9 +350,10 @@
     for (std::size_t at = kHeader; at < text.size(); at += kEntry) {
       const long lag = number_in(text.substr(at + 4, 2));
       const long role = number_in(text.substr(at + 6, 1));
-      const auto found = marked_.find(number_in(text.substr(at, 4)));
-      if (lag < 0 || role < 0 || role > 2 || found == marked_.end() || !found->second ||
-          then <= found->second->heard)
+      const std::pair<long, Member*> marked{number_in(text.substr(at, 4)), nullptr};
+      const auto found = std::lower_bound(marked_.begin(), marked_.end(), marked);
+      if (lag < 0 || role < 0 || role > 2 || found == marked_.end() || found->first != marked.first ||
+          !found->second || then <= found->second->heard)
         continue;
       Member& member = *found->second;
       if (down(member)) member.next_probe = now_;
@@ -572,8 +576,7 @@
   const double zone_ = catalog_.number("zone");
 
   Member* choose(const Op& op, const OpType& type) {
-    Group& group = groups_[op.group];
-    group.touched = true;
+    Group& group = touch(groups_[op.group]);
     Member* primary = primary_of(group);
     if (!primary) group.asked = true;
     const bool primary_usable = primary && usable(*primary);
@@ -620,7 +623,6 @@
   }
 
   void decide_ops() {
-    for (auto& [id, group] : groups_) group.asked = false;
     std::vector<std::tuple<Millis, OpId>> held;
     for (auto& [id, op] : ops_) {
       op.want = Want::hold;
@@ -675,27 +677,26 @@
   }
 
   void decide_probes() {
-    next_probe_ = kForever;
-    for (auto& [id, group] : groups_) {
-      if (std::exchange(group.touched, false) || group.next_probe <= now_) judge_probes(group);
-      next_probe_ = std::min(next_probe_, group.next_probe);
+    if (next_probe_ <= now_) {
+      next_probe_ = kForever;
+      for (auto& [id, group] : groups_) touch(group);
     }
+    for (Group* group : std::exchange(touched_, {})) judge_probes(*group);
   }
 
   void judge_probes(Group& group) {
     if (group.wait == 0) group.wait = patience();
-    group.next_probe = kForever;
     bool due = false;
     for (Member* member : group.members) {
       const Millis at = probe_at(group, *member);
       due = due || at <= now_;
-      if (at > now_) group.next_probe = std::min(group.next_probe, at);
+      if (at > now_) next_probe_ = std::min(next_probe_, at);
     }
     // What this instance tells of a group goes into one message.
-    if (!due) return;
     for (Member* member : group.members)
-      if (probe_at(group, *member) - (group.mine ? kProbePeriod / 2 : 0) <= now_)
+      if (due && probe_at(group, *member) - (group.mine ? kProbePeriod / 2 : 0) <= now_)
         want_probes_.push_back(member);
+    group.touched = group.asked = false;
   }
 
   // The first calls are spread, for the list is one service for all instances.
@@ -767,10 +768,11 @@
   Millis next_watch_ = kNever, watch_pause_ = 0, next_probe_ = 0;
   bool want_watch_ = false, held_ = false;
   std::vector<Member*> want_probes_, want_tells_;
+  std::vector<Group*> touched_;
   std::vector<Event> noted_;
   std::map<MemberId, Member> members_;
   std::map<GroupId, Group> groups_;
-  std::map<long, Member*> marked_;  // none where two members share a mark
+  std::vector<std::pair<long, Member*>> marked_;  // by mark; none where two members share one
   std::map<OpId, Op> ops_;
   std::map<std::string, Millis> remembered_;
   Millis remembered_floor_ = kNever;
