--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -118,7 +118,7 @@
   Millis wanted_by = 0, end = 0, token = kNever;
   double chance = 0;             // drawn once
   Millis may_have_run = kNever;  // when the first send went out that may have run
-  int sends = 0, out = 0;
+  int sends = 0, out = 0, turned_away = 0;
   Want want = Want::hold;
   Member* to = nullptr;
 };
@@ -277,7 +277,7 @@
     if (found == ops_.end()) return;
     Op& op = found->second;
     if (is(Ending::turned_away_untouched) && type.needs == Needs::write) member.replica_at = now_;
-    --op.out;
+    --op.out, op.turned_away += is(Ending::turned_away_untouched);
     if (!is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent,
             Ending::turned_away_untouched) &&
         op.may_have_run == kNever)
@@ -564,7 +564,7 @@
   // the best of its last samples (a report is itself old), however old they are: the store's word costs no
   // probe.
   bool likely(const Member& member, const Op& op, const OpType& type) const {
-    if (!stores_check_) return false;
+    if (!stores_check_ || op.turned_away > 1) return false;
     Millis lag = member.samples.empty() ? 0 : kForever;
     for (const auto& [position, seen] : member.samples) lag = std::min(lag, seen - position);
     const Millis wanted = type.needs == Needs::bounded ? now_ - type.bound : op.token;
