--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -97,7 +97,7 @@
   double limit = 0, credit = 0;
   Millis yielded = kNever, credit_at = kNever;
   int out = 0;
-  long turn = 0;
+  long turn = 0, mark = 0;
   Role said = Role::unknown;
 };
 
@@ -157,9 +157,7 @@
   std::minstd_rand chance_;
   const double instances_ = std::max(1.0, catalog_.number("instances", 1));
 
-  double roll() {
-    return static_cast<double>(chance_() - chance_.min()) / static_cast<double>(chance_.max());
-  }
+  double roll() { return static_cast<double>(chance_() - 1) / static_cast<double>(chance_.max()); }
 
   // Work is done for the groups that something happened to.
   Group& touch(Group& group) {
@@ -183,22 +181,16 @@
       Member& member = at->second;
       member.entry = entry;
       if (is_new) {
+        member.mark = mark_of(entry.member);
+        marked_.emplace_back(member.mark, &member);
+        std::sort(marked_.begin(), marked_.end());
         std::vector<Member*>& members = touch(member).members;
         members.push_back(&member);
-        std::sort(members.begin(), members.end(), [](const Member* a, const Member* b) {
-          return std::pair(mark(a->entry.member), a->entry.member) <
-                 std::pair(mark(b->entry.member), b->entry.member);
-        });
+        std::ranges::sort(members, {}, [](const Member* m) { return std::tie(m->mark, m->entry.member); });
         member.limit = std::max(1.0, 8 / instances_);
         // By chance, so that instances don't all begin with the same member, nor spend all credit at once.
-        member.credit = roll();
-        member.credit_at = now_;
+        member.credit = roll(), member.credit_at = now_;
         member.turn = touch(member).turn - static_cast<long>(100 * roll());
-        const std::pair<long, Member*> marked{mark(entry.member), &member};
-        const auto next =
-            std::lower_bound(marked_.begin(), marked_.end(), std::pair(marked.first, (Member*)nullptr));
-        const bool shared = next != marked_.end() && next->first == marked.first;
-        shared ? void(next->second = nullptr) : void(marked_.insert(next, marked));
       }
       touch(member);
       member.listed = entry.state != MemberState::gone;
@@ -332,7 +324,7 @@
     return number;
   }
   // Every instance gets the same one from the address alone (FNV-1a, 24 bits).
-  static long mark(const MemberId& id) {
+  static long mark_of(const MemberId& id) {
     std::uint32_t hash = 2166136261u;
     for (const char letter : id.address) hash = (hash ^ static_cast<unsigned char>(letter)) * 16777619u;
     return static_cast<long>((hash ^ hash >> 24) & 0xffffff);
@@ -348,14 +340,12 @@
     const Millis then = now_ - std::fmod(now_ - static_cast<double>(clock) + wrap, wrap) - 1;
     if (!text.starts_with("r1") || clock < 0 || now_ - then > kSampleAge) return;
     for (std::size_t at = kHeader; at < text.size(); at += kEntry) {
-      const long lag = number_in(text.substr(at + 4, 2));
-      const long role = number_in(text.substr(at + 6, 1));
-      const std::pair<long, Member*> marked{number_in(text.substr(at, 4)), nullptr};
-      const auto found = std::lower_bound(marked_.begin(), marked_.end(), marked);
-      if (lag < 0 || role < 0 || role > 2 || found == marked_.end() || found->first != marked.first ||
-          !found->second || then <= found->second->heard)
+      const long lag = number_in(text.substr(at + 4, 2)), role = number_in(text.substr(at + 6, 1));
+      const auto found = std::ranges::equal_range(marked_, number_in(text.substr(at, 4)), {},
+                                                  [](const auto& item) { return item.first; });
+      if (lag < 0 || role < 0 || role > 2 || found.size() != 1 || then <= found.front().second->heard)
         continue;
-      Member& member = *found->second;
+      Member& member = *found.front().second;
       if (down(member)) member.next_probe = now_;
       Group& group = touch(member);
       group.wait = patience();
@@ -510,12 +500,12 @@
     if (age >= warm_within_ || warm_within_ <= 0) return 1;
     return cold_from_ + (1 - cold_from_) * std::max(0.0, age) / warm_within_;
   }
-  const Millis warm_within_ = catalog_.number("rule.warm_within");
-  const double cold_from_ = catalog_.number("rule.cold_from", 1);
+  const double warm_within_ = catalog_.number("rule.warm_within"),
+               cold_from_ = catalog_.number("rule.cold_from", 1);
 
-  // Guards against pushing over a cold member: in a millisecond this instance sends it at most three quarters
-  // of the rule's multiple (the rest is for chance) of its share of what a warm member of its kind answered
-  // this instance of late. That may be far under one op; the sum over all instances keeps the rule.
+  // Guards against pushing over a cold member: in a millisecond this instance sends it at most the rule's
+  // multiple of its share of what a warm member of its kind answered this instance of late, which is less
+  // than such a member can do. That may be far under one op; the sum over all instances keeps the rule.
   double cold_rate(const Member& member) {
     std::size_t carried = 0, warm = 0;
     for (auto& [id, other] : members_) {
@@ -524,7 +514,7 @@
       carried += other.acked.size(), ++warm;
     }
     const double each = static_cast<double>(carried) / std::max(1.0, static_cast<double>(warm)) / kCarried;
-    return warmth(member) * fall_multiple_ * 0.75 * each;
+    return warmth(member) * fall_multiple_ * each;
   }
   static constexpr Millis kCarried = 5000;  // long enough for some ops of an idle instance
   const double fall_multiple_ = catalog_.number("rule.fall_multiple", 2);
@@ -541,23 +531,23 @@
     return !long_work && member.credit >= 1;
   }
 
+  // Who claimed it last and was not seen as a replica since; the list's word counts where no member has
+  // spoken.
   static Member* primary_of(const Group& group) {
-    Member* best = nullptr;
+    Member *best = nullptr, *by_list = nullptr;
     for (Member* member : group.members) {
-      if (member->primary_at == kNever || member->primary_at <= member->replica_at) continue;
-      if (!best || member->primary_at > best->primary_at) best = member;
+      const bool claims = member->primary_at != kNever && member->primary_at > member->replica_at;
+      if (claims && (!best || member->primary_at > best->primary_at)) best = member;
+      if (member->listed && member->entry.primary && member->replica_at == kNever) by_list = member;
     }
-    if (best) return best;
-    for (Member* member : group.members)
-      if (member->listed && member->entry.primary && member->replica_at == kNever) return member;
-    return nullptr;
+    return best ? best : by_list;
   }
 
   // The design's three tests.
   bool passes(const Member& member, const Op& op, const OpType& type) const {
     if (member.samples.empty() || now_ - member.samples.back().second > kSampleAge) return false;
     const Millis threshold = type.needs == Needs::bounded ? type.bound : kLagThreshold;
-    return now_ - member.proven <= threshold && member.proven >= op.token;
+    return now_ - member.proven < threshold - 1 && member.proven >= op.token;  // 1 ms to the cautious side
   }
 
   // Where stores check reads themselves, a replica is tried when it would pass if it now lags as it did in
@@ -572,8 +562,7 @@
   }
 
   const bool stores_check_ = catalog_.word("checks", "none") != "none";
-  const bool zones_matter_ = catalog_.number("price.cross_zone") > 0;
-  const double zone_ = catalog_.number("zone");
+  const double zone_ = catalog_.number("zone"), zone_price_ = catalog_.number("price.cross_zone");
 
   Member* choose(const Op& op, const OpType& type) {
     Group& group = touch(groups_[op.group]);
@@ -584,17 +573,19 @@
       return primary_usable && has_room(*primary, op, type.long_work, 1) ? primary : nullptr;
     Member* best = nullptr;
     std::pair<int, long> best_rank;
-    long kept = type.long_work ? kept_for_long_work(group) : 0;
+    long kept = std::max(kept_for_long_work(group), type.long_work ? 1L : 0L);
     for (Member* member : group.members) {
       if (member == primary) continue;
       const bool keeps = sendable(*member) && !down(*member) && kept-- > 0;
       if (!usable(*member) || !has_room(*member, op, type.long_work, 1)) continue;
       int tier = passes(*member, op, type) || likely(*member, op, type) ? 0 : 2;
-      // Beyond the threshold, but proven all the same: better than asking a busy primary.
-      if (tier && (type.needs == Needs::any || (type.needs == Needs::session && member->proven >= op.token)))
-        tier = 1;
+      // Beyond the threshold, but proven all the same: better than asking a busy primary. Likewise those that
+      // are kept for long work.
+      if (type.needs == Needs::any || (type.needs == Needs::session && member->proven >= op.token))
+        tier = std::min(tier, 1);
+      if (keeps && tier == 0) tier = 1;
       if (tier == 2) continue;
-      if (zones_matter_ && member->entry.zone.number != zone_) tier += 2;
+      if (zone_price_ > 0 && member->entry.zone.number != zone_) tier += 2;
       if (down(*member)) tier += 4;
       std::pair<int, long> rank{tier, member->turn};
       if (type.long_work) rank.first = tier / 4 * 4 + !keeps;
@@ -614,7 +605,7 @@
     Millis all = 1, of_long = 0;
     for (const auto& [is_long, took] : work_) all += took, of_long += is_long ? took : 0;
     const double members = static_cast<double>(group.members.size());
-    return std::max(1L, std::lround(std::min(0.5, of_long / all) * members));
+    return std::lround(std::min(0.5, of_long / all) * members);
   }
 
   // Until when an answer is of use.
@@ -640,10 +631,8 @@
   void decide(Op& op) {
     const OpType& type = type_of(op.type);
     const bool ran = op.may_have_run != kNever;
-    const bool may_send =
-        op.sends < most_sends_ &&
-        (!ran || type.effect == Effect::retryable ||
-         (type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50));
+    const bool remembered = type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50;
+    const bool may_send = op.sends < most_sends_ && (!ran || type.effect == Effect::retryable || remembered);
     // What can't be answered in time by the usual latency is ended: by the upper quartile, for another makes
     // better use of the room; never by more than 0.6 of the latency target, or samples of a bad time would
     // end every op. Guards against sends that come to nothing, and against a lock-out after a slow spell.
@@ -654,15 +643,14 @@
       op.want = harmless ? Want::busy_reply : Want::error_reply;
       return;
     }
-    Member* to = choose(op, type);
+    Member* to = op.to = choose(op, type);
     if (!to) return;
-    op.want = Want::send, op.to = to;
+    op.want = Want::send;
     ++to->out;
     if (warmth(*to) < 1) to->credit -= 1;
     to->turn = ++groups_[op.group].turn;
   }
-  const double most_sends_ = catalog_.number("allow.sends_per_op", 1);
-  const Millis tick_ = catalog_.number("tick", 5);
+  const double most_sends_ = catalog_.number("allow.sends_per_op", 1), tick_ = catalog_.number("tick", 5);
 
   // When the next probe of a member is due. The pace is kept by the instance that was the last to tell of the
   // member, or by others when it is left untold; probes come sooner when an op waits for a sample, failed or
@@ -701,9 +689,8 @@
 
   // The first calls are spread, for the list is one service for all instances.
   void decide_list() {
-    if (!ask_) return;
     if (next_watch_ == kNever) next_watch_ = now_ + roll() * std::min(25 * (instances_ - 1), ask_within_ / 2);
-    want_watch_ = now_ >= next_watch_;
+    want_watch_ = ask_ && now_ >= next_watch_;
   }
   const bool ask_ = catalog_.word("list", "push") == "ask";
   const Millis ask_within_ = catalog_.number("rule.ask_within", 10000);
@@ -723,19 +710,16 @@
       flight.called_off = true;
       flight.member->op_bad = now_;
     }
-    std::vector<OpId> ended;
     for (auto& [id, op] : ops_) {
       if (op.want == Want::send) {
         out.push_back(Send{id, op.to->entry.member, op.end - now_});
         flights_[{id, {op.sends}}] = {op.to, op, now_};
         ++op.sends, ++op.out;
-      } else if (op.want != Want::hold) {
-        op.want == Want::busy_reply ? out.push_back(BusyReply{id, come_back_})
-                                    : out.push_back(ErrorReply{id});
-        ended.push_back(id);
       }
+      if (op.want == Want::busy_reply) out.push_back(BusyReply{id, come_back_});
+      if (op.want == Want::error_reply) out.push_back(ErrorReply{id});
     }
-    for (const OpId id : ended) ops_.erase(id);
+    std::erase_if(ops_, [](const auto& item) { return item.second.want > Want::send; });
     Millis wake = ask_ ? std::min(next_probe_, next_watch_) : next_probe_;
     if (!ops_.empty()) wake = std::min(wake, now_ + (held_ ? 10 : 20));
     wake = std::clamp(wake, now_ + tick_, now_ + 1000);
@@ -752,7 +736,7 @@
     for (const Member* member : std::exchange(want_tells_, {})) {
       if (text.empty()) text = "r1" + digits(now % kClock, 5);
       const long lag = static_cast<long>(std::ceil((static_cast<double>(now) - member->proven) / kLagUnit));
-      text += digits(mark(member->entry.member), 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
+      text += digits(member->mark, 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
       text += digits(static_cast<long>(member->said), 1);
       if (text.size() + kEntry > kLongest) break;  // the rest is told when its turn comes again
     }
@@ -772,7 +756,7 @@
   std::vector<Event> noted_;
   std::map<MemberId, Member> members_;
   std::map<GroupId, Group> groups_;
-  std::vector<std::pair<long, Member*>> marked_;  // by mark; none where two members share one
+  std::vector<std::pair<long, Member*>> marked_;  // by mark
   std::map<OpId, Op> ops_;
   std::map<std::string, Millis> remembered_;
   Millis remembered_floor_ = kNever;
