--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -46,13 +46,10 @@
       type.needs =
           static_cast<Needs>(place(word(at + "needs", ""), {"any", "bounded", "session", "current"}));
       type.group_tokens = word(at + "token_scope", "group") != "all";
-      type.target = number(at + "latency_target", 1000);
-      type.op_timeout = number(at + "op_timeout", 0);
-      type.bound = number(at + "bound", 0);
-      type.token_memory = number(at + "token_memory", 0);
+      targets.push_back(type.target = number(at + "latency_target", 1000));
+      type.op_timeout = number(at + "op_timeout"), type.token_memory = number(at + "token_memory");
+      type.bound = number(at + "bound"), type.late_value = number(at + "late_value");
       type.value = number(at + "value", 1);
-      type.late_value = number(at + "late_value", 0);
-      targets.push_back(type.target);
     }
     std::sort(targets.begin(), targets.end());
     // Long work: wanted far later than the usual op; five times the median sets reports apart from look-ups.
@@ -70,12 +67,11 @@
     return value ? *value : other;
   }
   static long place(const std::string& word, std::initializer_list<const char*> words) {
-    return std::find(words.begin(), words.end(), word) - words.begin();
+    return std::ranges::find(words, word) - words.begin();
   }
   Values values_;
 };
 
-// Measurements are kept as the last few samples themselves.
 template <typename T>
 void keep(std::deque<T>& last, const std::type_identity_t<T>& sample, std::size_t most) {
   last.push_back(sample);
@@ -87,8 +83,8 @@
   bool listed = false, drained = false;
   std::deque<std::pair<Millis, Millis>> samples;  // the last few: position and when seen
   std::deque<double> paces;  // latency over latency target of the last answers, since the limit last moved
-  std::deque<Millis> latencies, acked;  // of the last answers of short work; when ops were acked
-  Millis proven = kNever;               // a position once shown holds
+  std::deque<Millis> latencies;                                     // of the last answers of short work
+  Millis proven = kNever;                                           // a position once shown holds
   Millis primary_at = kNever, replica_at = kNever, heard = kNever;  // heard: of a sample from anyone
   Millis last_good = kNever, probe_bad = kNever, op_bad = kNever, cold_since = kNever;
   Millis probe_out = kNever, next_probe = kNever, probe_pause = 0;
@@ -98,7 +94,6 @@
   Millis yielded = kNever, credit_at = kNever;
   int out = 0;
   long turn = 0, mark = 0;
-  Role said = Role::unknown;
 };
 
 struct Group {
@@ -106,7 +101,6 @@
   Millis wait = 0;                      // how much longer than the usual pace others are given to tell of it
   bool asked = false, touched = false;  // asked: an op waits for a sample
   bool mine = false;                    // this instance keeps the pace for all
-  long turn = 0;
 };
 
 enum class Want { hold, send, busy_reply, error_reply };
@@ -167,13 +161,7 @@
   Group& touch(const Member& member) { return touch(groups_[member.entry.group]); }
 
   void learn(const ListRead& read) {
-    if (read.kind == ListKind::failed) {
-      // Ask again soon, then ever more rarely: the list is one service for all instances.
-      watch_pause_ = std::clamp(watch_pause_ * 2, 200.0, 2000.0);
-      next_watch_ = now_ + watch_pause_ * (0.75 + 0.5 * roll());
-      return;
-    }
-    if (read.kind != ListKind::saved) watch_pause_ = 0;
+    if (read.kind == ListKind::failed) return void(next_watch_ = now_ + 200 + spread());
     if (read.kind != ListKind::changes)
       for (auto& [id, member] : members_) member.listed = false;
     for (const ListedMember& entry : read.members) {
@@ -190,7 +178,7 @@
         member.limit = std::max(1.0, 8 / instances_);
         // By chance, so that instances don't all begin with the same member, nor spend all credit at once.
         member.credit = roll(), member.credit_at = now_;
-        member.turn = touch(member).turn - static_cast<long>(100 * roll());
+        member.turn = turn_ - static_cast<long>(100 * roll());
       }
       touch(member);
       member.listed = entry.state != MemberState::gone;
@@ -252,7 +240,7 @@
     }
     if (is(Ending::acked)) {
       remember(sent_op.session, ended, type);
-      keep(member.acked, now_, 1000);
+      if (warmth(member) >= 1) keep(acked_, now_, 10000);
       member.rest = 0;
     }
     if (is(Ending::reset, Ending::connect_failed)) member.op_bad = now_;
@@ -268,12 +256,12 @@
     const auto found = ops_.find(ended.op);
     if (found == ops_.end()) return;
     Op& op = found->second;
-    if (is(Ending::turned_away_untouched) && type.needs == Needs::write) member.replica_at = now_;
-    --op.out, op.turned_away += is(Ending::turned_away_untouched);
-    if (!is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent,
-            Ending::turned_away_untouched) &&
-        op.may_have_run == kNever)
-      op.may_have_run = sent;
+    const bool untouched = is(Ending::turned_away_untouched);
+    if (untouched && type.needs == Needs::write) member.replica_at = now_;
+    --op.out, op.turned_away += untouched;
+    const bool not_run =
+        untouched || is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent);
+    if (!not_run && op.may_have_run == kNever) op.may_have_run = sent;
     if (ended.op_ended) ops_.erase(found);
   }
 
@@ -293,7 +281,6 @@
     good(member);
     if (may_tell_ && due && ended.seen.position >= 0) want_tells_.push_back(&member), group.mine = true;
     see(member, ended.seen, ended.seen.position, now_);
-    member.said = ended.seen.role;
   }
 
   void learn(const OpGone& gone) { ops_.erase(gone.op); }
@@ -317,9 +304,9 @@
   static long number_in(std::string_view text) {
     long number = 0;
     for (const char digit : text) {
-      const auto at = kDigits.find(digit);
-      if (at == kDigits.npos) return -1;
-      number = number * 64 + static_cast<long>(at);
+      const long at = static_cast<long>(kDigits.find(digit));
+      if (at < 0) return -1;
+      number = number * 64 + at;
     }
     return number;
   }
@@ -343,21 +330,20 @@
       const long lag = number_in(text.substr(at + 4, 2)), role = number_in(text.substr(at + 6, 1));
       const auto found = std::ranges::equal_range(marked_, number_in(text.substr(at, 4)), {},
                                                   [](const auto& item) { return item.first; });
-      if (lag < 0 || role < 0 || role > 2 || found.size() != 1 || then <= found.front().second->heard)
-        continue;
+      if (lag < 0 || role < 0 || role > 2 || found.size() != 1) continue;
       Member& member = *found.front().second;
-      if (down(member)) member.next_probe = now_;
       Group& group = touch(member);
-      group.wait = patience();
       group.mine = group.mine && rank_ < spoke.peer;  // of two that keep the pace one goes on
+      if (then <= member.heard) continue;
+      if (down(member)) member.next_probe = now_;
+      group.wait = patience();
       const Millis position = lag < kLags - 1 ? then - static_cast<double>(lag) * kLagUnit : -1;
       see(member, {static_cast<Role>(role), position}, position, then);
     }
   }
 
-  // How much longer than the usual pace others are given to tell first, drawn by each so that few speak at
-  // once: a message takes up to 50 ms, 10 ms set two apart. Where none can tell, all keep the pace of one
-  // together.
+  // How much longer than the usual pace others are given to tell first, drawn so that few speak at once:
+  // messages take up to 50 ms, 10 ms set two apart. Where none can tell, all keep the pace of one together.
   Millis patience() {
     if (instances_ <= 1) return 0;
     return may_tell_ ? 50 + 10 * instances_ * roll() : 2 * kProbePeriod * (instances_ - 1) * roll();
@@ -387,9 +373,9 @@
   }
   const bool remembers_ = catalog_.word("tokens", "") == "remembered";
 
-  // Guards against pushing over a member that restarted before the list told of it: one that comes back after
-  // its ops failed and nobody heard of it for two seconds is taken for cold. Harm: one that was only cut off
-  // is used sparingly for a while.
+  // Guards against pushing over a member that restarted before the list told of it: one that answers after
+  // its ops failed and nobody heard of it for two seconds is taken for cold. Harm: so is one that was cut
+  // off.
   void good(Member& member) {
     if (member.probe_bad > member.last_good) doubted_ = now_;
     if (member.op_bad > member.last_good && now_ - std::max(member.last_good, member.heard) > 2000)
@@ -420,18 +406,18 @@
   }
 
   // Where instances are many, each has too few ops at a member to limit by their number. A limit under one is
-  // the chance that an op may go there, and follows single answers: the sum over all instances goes by what
-  // the member can do. Guards against slow, full or overloaded members, be it for this instance only, against
-  // reads falling back onto primaries, and overload. Harm: after one slow answer by chance a member is
-  // spared.
+  // the chance that an op may go there, and follows single answers. Guards against slow, full or overloaded
+  // members, be it for this instance only, and against reads falling back onto primaries: the sum over all
+  // instances goes by what the member can do. Harm: after one slow answer by chance a member is spared.
   void yield(Member& member) {
     if (floor() >= 1) return;
     member.limit = std::max(floor(), std::min(member.limit, 1.0) * 0.3);
     member.yielded = now_;
   }
 
-  // Any server runs a few ops at once; the instances share it.
-  double floor() const { return 4 / instances_; }
+  double floor() const {
+    return 4 / instances_;
+  }  // any server runs a few ops at once; the instances share it
 
   const OpType& type_of(OpTypeId type) const {
     return catalog_.op_types.at(static_cast<std::size_t>(type.number));
@@ -469,8 +455,8 @@
   // answer since is silent, not busy. Where probes are in doubt, being overdue twice over has to do.
   bool silent(const Member& member) const {
     const bool probe_late = member.probe_out > member.last_good && now_ - member.probe_out > 50;
-    return member.op_bad > member.last_good ||
-           (probes_count() ? overdue(member) && (down(member) || probe_late) : overdue(member, 4));
+    if (member.op_bad > member.last_good) return true;
+    return probes_count() ? overdue(member) && (down(member) || probe_late) : overdue(member, 4);
   }
 
   // Guards against probes that fail while ops are answered: an answer from a member after its probe failed
@@ -504,35 +490,33 @@
                cold_from_ = catalog_.number("rule.cold_from", 1);
 
   // Guards against pushing over a cold member: in a millisecond this instance sends it at most the rule's
-  // multiple of its share of what a warm member of its kind answered this instance of late, which is less
+  // multiple of its share of what a warm member of its size answered this instance of late, which is less
   // than such a member can do. That may be far under one op; the sum over all instances keeps the rule.
   double cold_rate(const Member& member) {
-    std::size_t carried = 0, warm = 0;
-    for (auto& [id, other] : members_) {
-      if (other.entry.kind != member.entry.kind || warmth(other) < 1 || down(other)) continue;
-      while (!other.acked.empty() && other.acked.front() < now_ - kCarried) other.acked.pop_front();
-      carried += other.acked.size(), ++warm;
-    }
-    const double each = static_cast<double>(carried) / std::max(1.0, static_cast<double>(warm)) / kCarried;
-    return warmth(member) * fall_multiple_ * each;
+    while (!acked_.empty() && acked_.front() < now_ - kCarried) acked_.pop_front();
+    double warm = 0;
+    for (const auto& [id, other] : members_)
+      if (warmth(other) >= 1 && sendable(other) && !down(other)) warm += other.entry.size;
+    if (warm <= 0) return 0;
+    return warmth(member) * fall_multiple_ * static_cast<double>(acked_.size()) / kCarried *
+           member.entry.size / warm;
   }
   static constexpr Millis kCarried = 5000;  // long enough for some ops of an idle instance
+  std::deque<Millis> acked_;                // when warm members last acked
   const double fall_multiple_ = catalog_.number("rule.fall_multiple", 2);
 
-  static constexpr double kRegain = 1e-5;  // with no answer at all a member is back in 100 s
   bool has_room(Member& member, const Op& op, bool long_work, double part) {
     const double share = warmth(member);
-    const double limit = member.limit * part * share;
-    if (member.out + 0.5 > std::max(1.0, limit) || op.chance > limit + kRegain * (now_ - member.yielded))
-      return false;
+    // With no answer at all a member is back in 100 s.
+    const double limit = member.limit * part * share, regained = (now_ - member.yielded) / 100000;
+    if (member.out + 0.5 > std::max(1.0, limit) || op.chance > limit + regained) return false;
     if (share >= 1) return true;
     const Millis since = std::max(std::exchange(member.credit_at, now_), member.cold_since);
     member.credit = std::min(1.0, member.credit + (now_ - since) * cold_rate(member));
     return !long_work && member.credit >= 1;
   }
 
-  // Who claimed it last and was not seen as a replica since; the list's word counts where no member has
-  // spoken.
+  // Who claimed it last and was not seen as a replica since; the list counts where no member has spoken.
   static Member* primary_of(const Group& group) {
     Member *best = nullptr, *by_list = nullptr;
     for (Member* member : group.members) {
@@ -551,8 +535,7 @@
   }
 
   // Where stores check reads themselves, a replica is tried when it would pass if it now lags as it did in
-  // the best of its last samples (a report is itself old), however old they are: the store's word costs no
-  // probe.
+  // the best of its last samples (reports are old), of any age: the store's own word costs no probe.
   bool likely(const Member& member, const Op& op, const OpType& type) const {
     if (!stores_check_ || op.turned_away > 1) return false;
     Millis lag = member.samples.empty() ? 0 : kForever;
@@ -608,11 +591,6 @@
     return std::lround(std::min(0.5, of_long / all) * members);
   }
 
-  // Until when an answer is of use.
-  static Millis useful_until(const Op& op, const OpType& type) {
-    return type.late_value > 0 ? op.end : std::min(op.end, op.wanted_by);
-  }
-
   void decide_ops() {
     std::vector<std::tuple<Millis, OpId>> held;
     for (auto& [id, op] : ops_) {
@@ -631,13 +609,14 @@
   void decide(Op& op) {
     const OpType& type = type_of(op.type);
     const bool ran = op.may_have_run != kNever;
+    const Millis useful_until = type.late_value > 0 ? op.end : std::min(op.end, op.wanted_by);
     const bool remembered = type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50;
     const bool may_send = op.sends < most_sends_ && (!ran || type.effect == Effect::retryable || remembered);
     // What can't be answered in time by the usual latency is ended: by the upper quartile, for another makes
     // better use of the room; never by more than 0.6 of the latency target, or samples of a bad time would
     // end every op. Guards against sends that come to nothing, and against a lock-out after a slow spell.
     const Millis expected = std::min(quantile(latencies_[op.type], 0.75, 0), type.target * 0.6);
-    if (!may_send || now_ + std::max(expected, 2 * tick_) > useful_until(op, type)) {
+    if (!may_send || now_ + std::max(expected, 2 * tick_) > useful_until) {
       const bool harmless =
           !ran || type.effect == Effect::retryable || (type.effect == Effect::tokened && !type.group_tokens);
       op.want = harmless ? Want::busy_reply : Want::error_reply;
@@ -648,13 +627,12 @@
     op.want = Want::send;
     ++to->out;
     if (warmth(*to) < 1) to->credit -= 1;
-    to->turn = ++groups_[op.group].turn;
+    to->turn = ++turn_;
   }
   const double most_sends_ = catalog_.number("allow.sends_per_op", 1), tick_ = catalog_.number("tick", 5);
 
   // When the next probe of a member is due. The pace is kept by the instance that was the last to tell of the
-  // member, or by others when it is left untold; probes come sooner when an op waits for a sample, failed or
-  // is overdue there.
+  // group, or by others when it is left untold; sooner when an op waits for a sample, failed or is overdue.
   Millis probe_at(const Group& group, const Member& member) const {
     if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
     if (overdue(member) && member.probe_bad < member.oldest_out) return std::max(now_, member.next_probe);
@@ -687,11 +665,13 @@
     group.touched = group.asked = false;
   }
 
-  // The first calls are spread, for the list is one service for all instances.
+  // Calls are spread, for the list is one service for all instances: 25 ms apart, within what the rule
+  // allows.
   void decide_list() {
-    if (next_watch_ == kNever) next_watch_ = now_ + roll() * std::min(25 * (instances_ - 1), ask_within_ / 2);
+    if (next_watch_ == kNever) next_watch_ = now_ + spread();
     want_watch_ = ask_ && now_ >= next_watch_;
   }
+  Millis spread() { return roll() * std::min(25 * (instances_ - 1), ask_within_ / 2); }
   const bool ask_ = catalog_.word("list", "push") == "ask";
   const Millis ask_within_ = catalog_.number("rule.ask_within", 10000);
 
@@ -737,7 +717,7 @@
       if (text.empty()) text = "r1" + digits(now % kClock, 5);
       const long lag = static_cast<long>(std::ceil((static_cast<double>(now) - member->proven) / kLagUnit));
       text += digits(member->mark, 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
-      text += digits(static_cast<long>(member->said), 1);
+      text += member->primary_at > member->replica_at ? '1' : '2';
       if (text.size() + kEntry > kLongest) break;  // the rest is told when its turn comes again
     }
     if (!text.empty()) out.push_back(TellPeers{text});
@@ -749,8 +729,9 @@
   double primary_density_ = 1e-9;
   Millis now_ = 0, born_ = kNever, armed_ = kNever;
   TimerId armed_as_;
-  Millis next_watch_ = kNever, watch_pause_ = 0, next_probe_ = 0;
+  Millis next_watch_ = kNever, next_probe_ = 0;
   bool want_watch_ = false, held_ = false;
+  long turn_ = 0;
   std::vector<Member*> want_probes_, want_tells_;
   std::vector<Group*> touched_;
   std::vector<Event> noted_;
