--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,6 +1,5 @@
 // reedspindle's decision module: every decision of the router is taken here. Interface: logic.hpp.
-// Note a batch's events, then call settle once: it brings the record up to date and works out what is wanted
-// of ops, members and timers; emit() alone turns that into decisions. Design: docs/design.md.
+// Note a batch's events, then call settle once; emit() alone turns what is wanted into decisions. See docs/.
 #include "logic.hpp"
 
 #include <algorithm>
