Errors are no sign of load; overdue at three times the usual latency; failing members probed rarer

Change: only full answers cut the limit. Should hold against bad releases; harm: a member that errors under load gets no fewer sends.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -47,7 +47,7 @@
       type.bound = number(at + "bound"), type.late_value = number(at + "late_value");
       type.value = number(at + "value", 1);
     }
-    std::sort(targets.begin(), targets.end());
+    std::ranges::sort(targets);
     // Long work: wanted far later than the usual op; five times the median sets reports apart from look-ups.
     for (OpType& type : op_types) type.long_work = type.target > 5 * targets[targets.size() / 2];
   }
@@ -144,7 +144,7 @@
  private:
   Catalog catalog_;
   std::minstd_rand chance_;
-  const double instances_ = std::max(1.0, catalog_.number("instances", 1));
+  const double rank_ = catalog_.number("rank"), instances_ = std::max(1.0, catalog_.number("instances", 1));
 
   double roll() { return static_cast<double>(chance_() - 1) / static_cast<double>(chance_.max()); }
 
@@ -238,7 +238,7 @@
     }
     if (is(Ending::reset, Ending::connect_failed)) member.op_bad = now_;
     if (is(Ending::acked, Ending::timed_out)) pace(member, sent_op.type, ended.took);
-    if (is(Ending::turned_away_full, Ending::errored)) {
+    if (is(Ending::turned_away_full)) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them.
       yield(member);
       member.limit = std::max(floor(), member.limit * 0.85);
@@ -267,10 +267,11 @@
     member.probe_out = kNever;
     Group& group = touch(member);
     if (!may_tell_) group.wait = patience();
-    // All instances together go on probing a member that fails about as often as one would; where others tell
-    // of it sooner, ever more rarely.
+    // All instances together go on probing a failing member as one would, and rarer where others tell sooner.
     const Millis longest = kProbePeriod * std::min(instances_, may_tell_ ? 64.0 : 16.0);
-    member.probe_pause = ended.answered ? 0 : std::clamp(member.probe_pause * 2, kProbePeriod, longest);
+    member.probe_pause = ended.answered ? 0
+                                        : std::clamp(member.probe_pause * 2,
+                                                     kProbePeriod * std::min(instances_, 8.0), longest);
     member.probe_bad = ended.answered ? kNever : now_;
     // Probes that were sent for another reason than the pace tell the others nothing they need.
     const bool due = now_ - member.heard > kProbePeriod * (group.mine ? 0.5 : 1);
@@ -340,7 +341,6 @@
     return may_tell_ ? 50 + 10 * instances_ * roll() : 2 * kProbePeriod * (instances_ - 1) * roll();
   }
 
-  const double rank_ = catalog_.number("rank");
   const bool may_probe_ = catalog_.number("allow.probes") > 0;
   const bool may_tell_ = instances_ > 1 && catalog_.number("allow.peers") > 0;
 
@@ -434,19 +434,19 @@
   const bool may_call_off_ = catalog_.number("allow.call_off") > 0;
 
   // No answer of any kind for longer than its answers usually take, with an op out all that time.
-  bool overdue(const Member& member, double times = 2) const {
+  bool overdue(const Member& member, double times = 3) const {
     if (member.oldest_out == kNever) return false;
     const Millis usual = quantile(member.latencies, 0.75, quantile(short_latencies_, 0.75, 100));
     return now_ - std::max(member.last_good, member.oldest_out) > std::max(60.0, times * usual);
   }
 
-  // Guards against members that hang, vanish or are cut off. A probe is answered beside the queue in a few
-  // milliseconds: an overdue member whose probe failed or is out for 50 ms is silent, not busy. Where probes
-  // are in doubt, being overdue twice over has to do.
+  // Guards against members that hang, vanish or are cut off. A probe is answered beside the queue: an overdue
+  // member whose probe failed or is out for 50 ms is silent. With probes in doubt, overdue five times has to
+  // do.
   bool silent(const Member& member) const {
     const bool probe_late = member.probe_out > member.last_good && now_ - member.probe_out > 50;
     if (member.op_bad > member.last_good) return true;
-    return probes_count() ? overdue(member) && (down(member) || probe_late) : overdue(member, 4);
+    return probes_count() ? overdue(member) && (down(member) || probe_late) : overdue(member, 5);
   }
 
   // Guards against probes that fail while ops are answered: an answer from a member after its probe failed
@@ -475,8 +475,8 @@
     if (age >= warm_within_ || warm_within_ <= 0) return 1;
     return cold_from_ + (1 - cold_from_) * std::max(0.0, age) / warm_within_;
   }
-  const double warm_within_ = catalog_.number("rule.warm_within");
-  const double cold_from_ = catalog_.number("rule.cold_from", 1);
+  const double warm_within_ = catalog_.number("rule.warm_within"),
+               cold_from_ = catalog_.number("rule.cold_from");
 
   // Guards against pushing over a cold member: in a millisecond this instance sends it at most the rule's
   // multiple of its share of what a warm member of its size answered this instance of late, which is less
