A failing member is probed by all instances together as by one, from the first failure on

Cause: a third of the probes at full size went to members known to fail, each instance doubling its own pause from 1.6 s. Change: the pause is the instance's part of the pace at once (at most 64 parts, 16 where nobody tells). Simpler, two lines fewer.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -83,7 +83,7 @@
   Millis proven = kNever;                                           // a position once shown holds
   Millis primary_at = kNever, replica_at = kNever, heard = kNever;  // heard: of a sample from anyone
   Millis last_good = kNever, probe_bad = kNever, op_bad = kNever, cold_since = kNever;
-  Millis probe_out = kNever, next_probe = kNever, probe_pause = 0;
+  Millis probe_out = kNever, next_probe = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   double limit = 0, credit = 0;
   Millis yielded = kNever, credit_at = kNever, rests_until = kNever;
@@ -267,11 +267,9 @@
     member.probe_out = kNever;
     Group& group = touch(member);
     if (!may_tell_) group.wait = patience();
-    // All instances together go on probing a failing member as one would, and rarer where others tell sooner.
-    const Millis longest = kProbePeriod * std::min(instances_, may_tell_ ? 64.0 : 16.0);
-    member.probe_pause = ended.answered ? 0
-                                        : std::clamp(member.probe_pause * 2,
-                                                     kProbePeriod * std::min(instances_, 8.0), longest);
+    // All instances together go on probing a failing member as one would; where others tell, rarer still.
+    const double sharing = std::min(instances_, may_tell_ ? 64.0 : 16.0);
+    if (!ended.answered) member.next_probe = now_ + kProbePeriod * sharing * (0.9 + 0.2 * roll());
     member.probe_bad = ended.answered ? kNever : now_;
     // Probes that were sent for another reason than the pace tell the others nothing they need.
     const bool due = now_ - member.heard > kProbePeriod * (group.mine ? 0.5 : 1);
@@ -672,7 +670,7 @@
     for (Member* member : std::exchange(want_probes_, {})) {
       out.push_back(Probe{member->entry.member});
       member->probe_out = now_;
-      member->next_probe = now_ + std::max(kProbePeriod * 0.75, member->probe_pause * (0.9 + 0.2 * roll()));
+      member->next_probe = now_ + kProbePeriod * 0.75;
     }
     tell(out);
     for (auto& [key, flight] : flights_) {
