A peer's sample outweighs a failed probe of one's own, not failed ops

Change: hearing of a member clears the failed probe; only failed ops make an instance look again at once.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -326,6 +326,8 @@
       Group& group = touch(member);
       group.mine = group.mine && rank_ < spoke.peer;  // of two that keep the pace one goes on
       if (then <= member.heard) continue;
+      // What another saw outweighs a failed probe of one's own, but not failed ops: those make it look again.
+      member.probe_bad = kNever;
       if (down(member)) member.next_probe = now_;
       group.wait = patience();
       const Millis position = lag < kLags - 1 ? then - static_cast<double>(lag * kLagUnit) : -1;
