Read once more: long work's part once a settle, one sort for the usual latency, one copy of a flight

The fallback latencies were sorted even where the member's own served; two unused bindings of an ended flight are gone.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -219,11 +219,11 @@
   void learn(const SendEnded& ended) {
     const auto flight = flights_.find({ended.op, ended.send});
     if (flight == flights_.end()) return;
-    Member& member = *flight->second.member;
-    touch(member);
-    const auto [to, sent_op, sent, called_off, want_call_off] = flight->second;
-    const OpType& type = type_of(sent_op.type);
+    const Flight was = std::move(flight->second);
     flights_.erase(flight);
+    Member& member = *was.member;
+    touch(member);
+    const OpType& type = type_of(was.op.type);
     if (--member.out == 0) member.oldest_out = kNever;
     const auto is = [&ended](auto... ending) { return ((ended.ending == ending) || ...); };
     if (is(Ending::acked, Ending::errored, Ending::turned_away_full, Ending::turned_away_untouched)) {
@@ -233,11 +233,11 @@
           is(Ending::acked) && type.needs == Needs::write);
     }
     if (is(Ending::acked)) {
-      remember(sent_op.session, ended, type);
+      remember(was.op.session, ended, type);
       if (warmth(member) >= 1) keep(acked_, now_, 10000);
     }
     if (is(Ending::reset, Ending::connect_failed)) member.op_bad = now_;
-    if (is(Ending::acked, Ending::timed_out)) pace(member, sent_op.type, ended.took);
+    if (is(Ending::acked, Ending::timed_out)) pace(member, was.op.type, ended.took);
     if (is(Ending::turned_away_full)) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them.
       yield(member);
@@ -253,12 +253,12 @@
       // The store's word replaces what was thought of its lag: where it stands, or that it is too far behind.
       const Millis at = member.samples.empty() ? now_ : member.samples.back().second;
       member.samples = {
-          {ended.seen.position >= 0 ? member.proven : at - wanted_lag(sent_op, type, sent) - 1, at}};
+          {ended.seen.position >= 0 ? member.proven : at - wanted_lag(was.op, type, was.sent) - 1, at}};
     }
     --op.out, op.turned_away += untouched;
     const bool not_run =
         untouched || is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent);
-    if (!not_run && op.may_have_run == kNever) op.may_have_run = sent;
+    if (!not_run && op.may_have_run == kNever) op.may_have_run = was.sent;
     if (ended.op_ended) ops_.erase(found);
   }
 
@@ -405,9 +405,8 @@
     member.yielded = now_;
   }
 
-  double floor() const {
-    return 4 / instances_;
-  }  // any server runs a few ops at once; the instances share it
+  // Any server runs a few ops at once; the instances share it.
+  double floor() const { return 4 / instances_; }
 
   const OpType& type_of(OpTypeId type) const {
     return catalog_.op_types.at(static_cast<std::size_t>(type.number));
@@ -436,7 +435,7 @@
   // No answer of any kind for longer than its answers usually take, with an op out all that time.
   bool overdue(const Member& member, double times = 3) const {
     if (member.oldest_out == kNever) return false;
-    const Millis usual = quantile(member.latencies, 0.75, quantile(short_latencies_, 0.75, 100));
+    const Millis usual = quantile(member.latencies.empty() ? short_latencies_ : member.latencies, 0.75, 100);
     return now_ - std::max(member.last_good, member.oldest_out) > std::max(60.0, times * usual);
   }
 
@@ -551,7 +550,8 @@
       return primary_usable && has_room(*primary, op, type.long_work, 1) ? primary : nullptr;
     Member* best = nullptr;
     std::pair<int, long> best_rank;
-    long kept = std::max(kept_for_long_work(group), type.long_work ? 1L : 0L);
+    const double members = static_cast<double>(group.members.size());
+    long kept = std::max(std::lround(long_part_ * members), type.long_work ? 1L : 0L);
     for (Member* member : group.members) {
       if (member == primary) continue;
       const bool keeps = sendable(*member) && !down(*member) && kept-- > 0;
@@ -578,11 +578,10 @@
 
   // Long work blocks the log where it runs, so it is kept together: on the first replicas in the order of
   // their marks, which all instances know without a word, and on as many as is its part of all work.
-  long kept_for_long_work(const Group& group) const {
+  double part_of_long_work() const {
     Millis all = 1, of_long = 0;
     for (const auto& [is_long, took] : work_) all += took, of_long += is_long ? took : 0;
-    const double members = static_cast<double>(group.members.size());
-    return std::lround(std::min(0.5, of_long / all) * members);
+    return std::min(0.5, of_long / all);
   }
 
   void decide_ops() {
@@ -596,6 +595,7 @@
       held.emplace_back(left > 0 ? left * std::sqrt(primary_density_ / type.density()) : 1e9 - left, id);
     }
     std::sort(held.begin(), held.end());
+    if (!held.empty()) long_part_ = part_of_long_work();
     for (const auto& [by, id] : held) decide(ops_[id]);
   }
 
@@ -694,9 +694,7 @@
     Millis wake = ask_ ? std::min(next_probe_, next_watch_) : next_probe_;
     if (!ops_.empty()) wake = std::min(wake, now_ + 3 * tick_);
     wake = std::clamp(wake, now_ + tick_, now_ + 1000);
-    if (armed_ == kNever || wake < armed_) {
-      out.push_back(Wake{{++armed_as_.number}, armed_ = wake});
-    }
+    if (armed_ == kNever || wake < armed_) out.push_back(Wake{{++armed_as_.number}, armed_ = wake});
     return out;
   }
 
@@ -717,7 +715,7 @@
   const Millis come_back_ =
       catalog_.number("allow.longest_come_back") * (catalog_.number("allow.come_back") > 0);
 
-  double primary_density_ = 1e-9;
+  double primary_density_ = 1e-9, long_part_ = 0;
   Millis now_ = 0, born_ = kNever, armed_ = kNever;
   TimerId armed_as_;
   Millis next_watch_ = kNever, next_probe_ = 0;
