--- /dev/null
+++ b/src/front/clock.hpp
@@ -0,0 +1,65 @@
+// Time in a front: Unix time in ms with fractions, never going back, and the one queue of timers.
+#pragma once
+
+#include <asio.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "logic.hpp"
+
+namespace reedspindle::front {
+
+class Clock {
+ public:
+  Millis now() const {
+    using Fraction = std::chrono::duration<double, std::milli>;
+    return start_ + Fraction(std::chrono::steady_clock::now() - steady_start_).count();
+  }
+
+ private:
+  const std::chrono::steady_clock::time_point steady_start_ = std::chrono::steady_clock::now();
+  const Millis start_ =
+      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+};
+
+// Owns every timer of the front. Whoever sets one keeps the handle and gives it back with drop, or lets it
+// come due, which gives it back too.
+class Timers {
+ public:
+  using Handle = std::pair<Millis, std::uint64_t>;
+
+  Timers(asio::io_context& io, const Clock& clock) : clock_(clock), next_(io) {}
+
+  Handle set(Millis at, std::function<void()> due) {
+    const Handle handle{at, ++last_};
+    due_.emplace(handle, std::move(due));
+    if (due_.begin()->first == handle) arm();
+    return handle;
+  }
+  void drop(const Handle& handle) { due_.erase(handle); }
+
+ private:
+  void arm() {
+    if (due_.empty()) return;
+    const Millis left = std::max(0.0, due_.begin()->first.first - clock_.now());
+    next_.expires_after(std::chrono::nanoseconds(static_cast<long long>(left * 1e6)));
+    next_.async_wait([this](const asio::error_code& fault) {
+      if (fault) return;
+      while (!due_.empty() && due_.begin()->first.first <= clock_.now()) {
+        const auto due = std::move(due_.begin()->second);
+        due_.erase(due_.begin());
+        due();
+      }
+      arm();
+    });
+  }
+
+  const Clock& clock_;
+  asio::steady_timer next_;
+  std::uint64_t last_ = 0;
+  std::map<Handle, std::function<void()>> due_;
+};
+
+}  // namespace reedspindle::front
--- /dev/null
+++ b/src/front/front.cpp
@@ -0,0 +1,154 @@
+#include "front/front.hpp"
+
+#include <csignal>
+#include <utility>
+
+namespace reedspindle::front {
+namespace {
+// Held besides connections: standard streams, the event queue, its timer and wake-up, signals, the listening
+// socket, discovery, the peers' socket, and a few in passing.
+constexpr std::size_t kOtherDescriptors = 24;
+}  // namespace
+
+Front::Front(Placement placement)
+    : placement_(std::move(placement)),
+      log_(clock_),
+      io_(1),
+      timers_(io_, clock_),
+      signals_(io_, SIGTERM, SIGINT),
+      router_(make_router(placement_.values, placement_.seed)),
+      members_(
+          io_, timers_, clock_, log_, placement_, [this] { return descriptor_left(); },
+          [this](SendEnded ended, std::string row) { send_ended(std::move(ended), std::move(row)); },
+          [this](ProbeEnded ended) { noted_.push_back({std::move(ended)}); }),
+      clients_(
+          io_, timers_, clock_, log_, placement_, [this] { return descriptor_left(); }, *this),
+      list_(io_, timers_, clock_, log_, placement_, [this](StoreList list) { list_read(std::move(list)); }),
+      peers_(io_, log_, placement_, [this](int peer, std::string text) {
+        noted_.push_back({PeerSpoke{peer, std::move(text)}});
+      }) {}
+
+void Front::run() {
+  clients_.listen();
+  stop_signal();
+  if (!placement_.known.is_null()) {
+    try {
+      StoreList known = read_list(placement_.known, placement_.catalogue);
+      known.kind = ListKind::saved;
+      list_read(std::move(known));
+    } catch (const std::exception& fault) {
+      log_.warn("list", "the list known at start does not count: {}", fault.what());
+    }
+  }
+  if (!placement_.list_is_asked) list_.watch();
+  log_.info("front", "{} listens at {}:{}", placement_.name, placement_.listen.address().to_string(),
+            placement_.listen.port());
+  while (!clients_.finished()) {
+    if (noted_.empty()) io_.run_one();
+    io_.poll();
+    if (!noted_.empty()) settle();
+    log_.flush();
+  }
+  log_.info("front", "{} has answered all it took and stops", placement_.name);
+  peers_.stop();
+  list_.stop();
+  clients_.stop();
+  members_.stop();
+}
+
+void Front::settle() {
+  const Millis now = clock_.now();
+  for (Noted& noted : std::exchange(noted_, {})) {
+    if (auto* arrived = std::get_if<OpArrived>(&noted.event)) {
+      arrived->patience -= now - noted.arrived;
+      if (noted.position > 0) arrived->token_age = now - noted.position;
+    }
+    router_->note(noted.event);
+  }
+  for (const Decision& decision : router_->settle(now))
+    std::visit([this](const auto& taken) { carry_out(taken); }, decision);
+}
+
+std::optional<pgwire::Fault> Front::op_arrived(OpId id, std::string_view text,
+                                               const pgwire::Statement& statement) {
+  const auto type = placement_.catalogue.op_types.find(statement.op_type);
+  if (type == placement_.catalogue.op_types.end())
+    return pgwire::Fault{"22023", "c names no op type: " + std::string(statement.op_type)};
+  if (ops_.size() >= placement_.open_ops) return pgwire::Fault{"53300", "too many ops are open"};
+  OpArrived arrived;
+  arrived.op = id;
+  arrived.type = type->second;
+  arrived.group = {statement.group};
+  arrived.session = statement.key;
+  arrived.patience = statement.patience;
+  arrived.repeat = statement.repeat;
+  noted_.push_back({std::move(arrived), clock_.now(), statement.position});
+  ops_[id] = {std::string(text), statement.patience_place};
+  return std::nullopt;
+}
+
+void Front::op_gone(OpId id) {
+  noted_.push_back({OpGone{id}});
+  end_op(id, "");
+}
+
+// Ops are given back here and nowhere else. What is not written of one yet never will be.
+void Front::end_op(OpId id, std::string answer) {
+  if (ops_.erase(id) == 0) return;
+  if (!answer.empty()) clients_.answer(id, std::move(answer));
+  members_.forget(id);
+}
+
+void Front::list_read(StoreList list) {
+  members_.learn(list);
+  ListRead read{list.kind, {}};
+  for (ListedStore& store : list.stores) read.members.push_back(std::move(store.entry));
+  noted_.push_back({std::move(read)});
+  if (list.kind != ListKind::failed && !read.members.empty()) clients_.be_ready();
+}
+
+void Front::send_ended(SendEnded ended, std::string row) {
+  if (ended.ending == Ending::acked) end_op(ended.op, std::move(row));
+  ended.op_ended = !ops_.contains(ended.op);
+  noted_.push_back({std::move(ended)});
+}
+
+bool Front::descriptor_left() {
+  const auto left = [this] {
+    return members_.descriptors() + clients_.descriptors() + kOtherDescriptors < placement_.sockets;
+  };
+  return left() || (members_.close_an_idle_one() && left());
+}
+
+void Front::stop_signal() {
+  signals_.async_wait([this](const asio::error_code& fault, int signal) {
+    if (fault) return;
+    log_.info("front", "signal {}: no new work after what still comes", signal);
+    clients_.drain();
+    stop_signal();
+  });
+}
+
+void Front::carry_out(const Send& decision) {
+  const auto found = ops_.find(decision.op);
+  if (found == ops_.end()) return;  // noted as gone
+  Op& op = found->second;
+  members_.send(decision.op, {op.sends++}, decision.member, decision.time_out, op.text, op.patience);
+}
+void Front::carry_out(const CallOff& decision) { members_.call_off(decision.op, decision.send); }
+void Front::carry_out(const BusyReply& decision) {
+  const std::string come_back = decision.come_back > 0 ? fmt::format("{:.0f}", decision.come_back) : "";
+  end_op(decision.op, pgwire::error(pgwire::Severity::error, "53300", "busy, try again", come_back));
+}
+void Front::carry_out(const ErrorReply& decision) {
+  end_op(decision.op, pgwire::error(pgwire::Severity::error, "58000", "no store has answered in time"));
+}
+void Front::carry_out(const Wake& decision) {
+  timers_.set(decision.at, [this, timer = decision.timer] { noted_.push_back({TimerDue{timer}}); });
+}
+void Front::carry_out(const Probe& decision) { members_.probe(decision.member, decision.time_out); }
+void Front::carry_out(const WatchList&) { list_.watch(); }
+void Front::carry_out(const TellPeers& decision) { peers_.tell(decision.text); }
+void Front::carry_out(const LogLine& decision) { log_.info("decisions", "{}", decision.text); }
+
+}  // namespace reedspindle::front
--- /dev/null
+++ b/src/front/front.hpp
@@ -0,0 +1,78 @@
+// The front: events from all parties go to the decision module, one settle a turn of the loop, and its
+// decisions are carried out. It owns the ops.
+#pragma once
+
+#include <asio.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "front/clients.hpp"
+#include "front/clock.hpp"
+#include "front/list.hpp"
+#include "front/log.hpp"
+#include "front/members.hpp"
+#include "front/peers.hpp"
+#include "front/pgwire.hpp"
+#include "front/placement.hpp"
+#include "logic.hpp"
+
+namespace reedspindle::front {
+
+class Front : private Clients::Ops {
+ public:
+  explicit Front(Placement placement);
+
+  // Runs until it has been told to stop and nothing is open.
+  void run();
+
+ private:
+  struct Op {
+    std::string text;
+    pgwire::Place patience;
+    int sends = 0;
+  };
+  // What happened, in order. An op's times are counted back from the clock of the settle that tells of it.
+  struct Noted {
+    Event event;
+    Millis arrived = 0, position = 0;
+  };
+
+  std::optional<pgwire::Fault> op_arrived(OpId op, std::string_view text,
+                                          const pgwire::Statement& statement) override;
+  void op_gone(OpId op) override;
+  void list_read(StoreList list);
+  void send_ended(SendEnded ended, std::string row);
+  void settle();
+  void end_op(OpId op, std::string answer);
+  bool descriptor_left();
+  void stop_signal();
+
+  void carry_out(const Send& decision);
+  void carry_out(const CallOff& decision);
+  void carry_out(const BusyReply& decision);
+  void carry_out(const ErrorReply& decision);
+  void carry_out(const Wake& decision);
+  void carry_out(const Probe& decision);
+  void carry_out(const WatchList& decision);
+  void carry_out(const TellPeers& decision);
+  void carry_out(const LogLine& decision);
+
+  const Placement placement_;
+  const Clock clock_;
+  Log log_;
+  asio::io_context io_;
+  Timers timers_;
+  asio::signal_set signals_;
+  std::unique_ptr<Router> router_;
+  std::vector<Noted> noted_;
+  std::map<OpId, Op> ops_;
+  Members members_;
+  Clients clients_;
+  List list_;
+  Peers peers_;
+};
+
+}  // namespace reedspindle::front
--- /dev/null
+++ b/src/front/members.cpp
@@ -0,0 +1,397 @@
+#include "front/members.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace reedspindle::front {
+
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+// "x0=1767225600.123,x1=1,util=0.61": the position in seconds, 1 from a primary, share of processors in use.
+void read_report(std::string_view text, Sighting& seen) {
+  while (!text.empty()) {
+    const std::string_view item = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(text.size(), item.size() + 1));
+    const std::size_t equals = item.find('=');
+    if (equals == std::string_view::npos) continue;
+    const std::string_view name = item.substr(0, equals), value = item.substr(equals + 1);
+    double number = 0;
+    if (std::from_chars(value.data(), value.data() + value.size(), number).ec != std::errc{}) continue;
+    if (name == "x0") seen.position = number * 1000;
+    if (name == "x1") seen.role = number > 0 ? Role::primary : Role::replica;
+    if (name == "util") seen.busy = number;
+  }
+}
+
+Ending ending_of_code(const std::string& code) {
+  if (code == "25006" || code == "72000") return Ending::turned_away_untouched;
+  return code == "53300" ? Ending::turned_away_full : Ending::errored;
+}
+
+}  // namespace
+
+// One send or one probe.
+struct Members::Work {
+  std::optional<std::pair<OpId, SendNumber>> send;  // none: a probe
+  Store* store = nullptr;
+  std::string text;  // of the statement, empty for a probe
+  pgwire::Place patience;
+  Millis from = 0, until = 0;
+  Timers::Handle limit;
+  Connection* on = nullptr;  // none: it waits for a connection
+  // What has come of the answer.
+  Sighting seen;
+  std::string row;
+  std::optional<std::string> code;  // of an error
+  std::size_t rows = 0;
+  bool described = false, complete = false;
+};
+
+struct Members::Store {
+  MemberId id;
+  Tcp::endpoint endpoint;
+  MemberState state = MemberState::ready;
+  Millis up_since = 0;
+  std::deque<std::unique_ptr<Work>> waiting;
+  std::vector<Connection*> idle;  // the one used last at the end
+  std::size_t opening = 0;
+};
+
+struct Members::Connection {
+  Connection(asio::io_context& io, Store& of) : socket(io), store(of) {}
+  Tcp::socket socket;
+  Store& store;
+  Buffer buffer;
+  std::string out;
+  enum class State { opening, idle, busy, given_back } state = State::opening;
+  Millis opened = 0, idle_since = 0;
+  bool written = false;  // the query's last byte
+  std::unique_ptr<Work> work;
+  std::optional<Timers::Handle> limit;  // while it opens
+  std::optional<std::string> code;      // of an error while it opens
+  std::list<Connected>::iterator place;
+};
+
+Members::Members(asio::io_context& io, Timers& timers, const Clock& clock, Log& log,
+                 const Placement& placement, std::function<bool()> may_open, SendDone send_done,
+                 ProbeDone probe_done)
+    : io_(io),
+      timers_(timers),
+      clock_(clock),
+      log_(log),
+      placement_(placement),
+      may_open_(std::move(may_open)),
+      send_done_(std::move(send_done)),
+      probe_done_(std::move(probe_done)) {
+  sweep();
+}
+
+Members::~Members() = default;
+
+void Members::learn(const StoreList& list) {
+  if (list.kind == ListKind::failed) return;
+  if (list.kind != ListKind::changes)
+    for (auto& [id, store] : stores_) store->state = MemberState::gone;
+  for (const ListedStore& listed : list.stores) {
+    auto& store = stores_[listed.entry.member];
+    if (!store) store = std::make_unique<Store>();
+    store->id = listed.entry.member;
+    store->endpoint = listed.endpoint;
+    store->state = listed.entry.state;
+    store->up_since = std::max(store->up_since, listed.entry.up_since);
+  }
+  for (auto& [id, store] : stores_) {
+    // A connection from before the store's last start can only end as a reset.
+    const bool leaves = store->state != MemberState::ready;
+    for (Connection* connection : std::vector(store->idle))
+      if (leaves || connection->opened < store->up_since) give_back(*connection);
+    // The rule counts a send from its first byte, which these have not written.
+    if (leaves)
+      while (!store->waiting.empty()) {
+        std::unique_ptr<Work> work = std::move(store->waiting.front());
+        store->waiting.pop_front();
+        end(std::move(work), Ending::never_sent);
+      }
+  }
+}
+
+void Members::send(OpId op, SendNumber number, const MemberId& member, Millis time_out,
+                   const std::string& text, pgwire::Place patience) {
+  auto work = std::make_unique<Work>();
+  work->send = {op, number};
+  work->text = text;
+  work->patience = patience;
+  sends_[{op, number}] = work.get();
+  add(*stores_.at(member), std::move(work), time_out);
+}
+
+void Members::probe(const MemberId& member, Millis time_out) {
+  add(*stores_.at(member), std::make_unique<Work>(), time_out);
+}
+
+void Members::add(Store& store, std::unique_ptr<Work> work, Millis time_out) {
+  work->store = &store;
+  work->from = clock_.now();
+  work->until = work->from + time_out;
+  work->limit = timers_.set(work->until, [this, late = work.get()] { out_of_time(*late); });
+  store.waiting.push_back(std::move(work));
+  dispatch(store);
+}
+
+void Members::dispatch(Store& store) {
+  while (!store.waiting.empty() && !store.idle.empty()) {
+    Connection& connection = *store.idle.back();
+    store.idle.pop_back();
+    std::unique_ptr<Work> work = std::move(store.waiting.front());
+    store.waiting.pop_front();
+    begin(connection, std::move(work));
+  }
+  while (store.opening < store.waiting.size()) open(store);
+}
+
+void Members::open(Store& store) {
+  if (!may_open_()) {
+    std::unique_ptr<Work> work = std::move(store.waiting.front());
+    store.waiting.pop_front();
+    return end(std::move(work), Ending::connect_failed);
+  }
+  const auto connection = std::make_shared<Connection>(io_, store);
+  connection->place = connections_.insert(connections_.end(), connection);
+  connection->opened = clock_.now();
+  ++store.opening;
+  connection->limit = timers_.set(clock_.now() + placement_.connect_time_out, [this, connection] {
+    connection->limit.reset();
+    opened_not(*connection, Ending::connect_failed);
+  });
+  connection->socket.async_connect(store.endpoint, [this, connection](const asio::error_code& fault) {
+    if (connection->state == Connection::State::given_back) return;
+    if (fault) return opened_not(*connection, Ending::connect_failed);
+    connection->socket.set_option(Tcp::no_delay(true));
+    connection->out = pgwire::startup("svc", "main");
+    asio::async_write(connection->socket, asio::buffer(connection->out),
+                      [](const asio::error_code&, std::size_t) {});  // the read sees what breaks
+    read(connection);
+  });
+}
+
+// A connection that never came up takes the send with it that has waited longest, if that has no other.
+void Members::opened_not(Connection& connection, Ending ending) {
+  Store& store = connection.store;
+  give_back(connection);
+  if (store.waiting.size() <= store.opening) return;
+  std::unique_ptr<Work> work = std::move(store.waiting.front());
+  store.waiting.pop_front();
+  end(std::move(work), ending);
+}
+
+void Members::begin(Connection& connection, std::unique_ptr<Work> work) {
+  connection.state = Connection::State::busy;
+  connection.written = false;
+  work->on = &connection;
+  connection.out =
+      pgwire::query(work->send ? pgwire::with_patience(work->text, work->patience, work->until - clock_.now())
+                               : "SHOW vitals");
+  const Work* of = work.get();
+  connection.work = std::move(work);
+  asio::async_write(connection.socket, asio::buffer(connection.out),
+                    [this, of, held = *connection.place](const asio::error_code& fault, std::size_t) {
+                      if (held->work.get() != of) return;
+                      held->written = !fault;
+                      if (fault) broken(*held);
+                    });
+}
+
+void Members::read(const Connected& connection) {
+  const auto room = connection->buffer.room(4096);
+  connection->socket.async_read_some(
+      asio::buffer(room.data(), room.size()),
+      [this, connection](const asio::error_code& fault, std::size_t count) {
+        if (connection->state == Connection::State::given_back) return;
+        connection->buffer.filled(count);
+        while (connection->state != Connection::State::given_back) {
+          const pgwire::Read next = pgwire::read_message(connection->buffer.held());
+          if (std::holds_alternative<pgwire::Partial>(next)) break;
+          const auto* message = std::get_if<pgwire::Message>(&next);
+          const bool fits = message && take(*connection, *message);
+          if (connection->state == Connection::State::given_back) return;
+          if (!fits) {
+            log_.warn("stores", "{} does not speak the protocol", connection->store.id.address);
+            return broken(*connection);
+          }
+          connection->buffer.consume(message->bytes.size());
+        }
+        if (connection->state == Connection::State::given_back) return;
+        if (fault) return broken(*connection);
+        read(connection);
+      });
+}
+
+// One message of a store. False: it does not belong there.
+bool Members::take(Connection& connection, const pgwire::Message& message) {
+  using State = Connection::State;
+  Work* work = connection.work.get();
+  switch (message.type) {
+    case 'R':
+    case 'K':
+      return connection.state == State::opening;
+    case 'N':
+      return true;
+    case 'S': {
+      const auto parameter = pgwire::read_parameter(message.body);
+      if (!parameter) return false;
+      if (!work) return true;
+      const auto [name, value] = *parameter;
+      if (name == "rank")
+        work->seen.role = value == "source" ? Role::primary : value == "copy" ? Role::replica : Role::unknown;
+      if (name == "as_of") std::from_chars(value.data(), value.data() + value.size(), work->seen.position);
+      if (name == "vitals") read_report(value, work->seen);
+      return true;
+    }
+    case 'E': {
+      const auto fields = pgwire::read_error(message.body);
+      if (!fields) return false;
+      (work ? work->code : connection.code) = fields->code;
+      return connection.state != State::idle;
+    }
+    case 'T':
+      if (!work || work->described || pgwire::columns(message.body) != 1) return false;
+      work->described = true;
+      work->row += message.bytes;
+      return true;
+    case 'D': {
+      const auto values = pgwire::read_row(message.body);
+      if (!work || !work->described || !values || values->size() != 1 || ++work->rows > 1) return false;
+      if (!work->send) read_report(values->front(), work->seen);
+      work->row += message.bytes;
+      return true;
+    }
+    case 'C':
+      if (!work || work->complete) return false;
+      work->complete = true;
+      work->row += message.bytes;
+      return true;
+    case 'Z':
+      if (connection.state == State::opening) {
+        --connection.store.opening;
+        timers_.drop(*std::exchange(connection.limit, std::nullopt));
+        rest(connection);
+        return true;
+      }
+      if (!work || !connection.written || !(work->complete || work->code)) return false;
+      end(std::move(connection.work));
+      rest(connection);
+      return true;
+    default:
+      return false;
+  }
+}
+
+// The connection may take the next send or probe.
+void Members::rest(Connection& connection) {
+  connection.state = Connection::State::idle;
+  connection.idle_since = clock_.now();
+  connection.store.idle.push_back(&connection);
+  dispatch(connection.store);
+}
+
+// The store has ended the connection, or nothing more can be understood on it.
+void Members::broken(Connection& connection) {
+  if (connection.state == Connection::State::opening) {
+    const bool full = connection.code && ending_of_code(*connection.code) == Ending::turned_away_full;
+    return opened_not(connection, full ? Ending::turned_away_full : Ending::connect_failed);
+  }
+  const bool written = connection.written;
+  std::unique_ptr<Work> work = give_back(connection);
+  if (!work) return;
+  if (work->complete || work->code) return end(std::move(work));
+  end(std::move(work), written ? Ending::reset : Ending::connect_failed);
+}
+
+void Members::out_of_time(Work& late) {
+  if (late.on) return end(give_back(*late.on), Ending::timed_out);
+  end(take_waiting(late), Ending::never_sent);
+}
+
+void Members::call_off(OpId op, SendNumber number) {
+  const auto found = sends_.find({op, number});
+  if (found == sends_.end()) return;
+  Work& work = *found->second;
+  if (work.on) return end(give_back(*work.on), Ending::called_off);
+  end(take_waiting(work), Ending::never_sent);
+}
+
+void Members::forget(OpId op) {
+  std::vector<Work*> unwritten;
+  for (auto at = sends_.lower_bound({op, {}}); at != sends_.end() && at->first.first == op; ++at)
+    if (!at->second->on) unwritten.push_back(at->second);
+  for (Work* work : unwritten) end(take_waiting(*work), Ending::never_sent);
+}
+
+std::unique_ptr<Members::Work> Members::take_waiting(Work& work) {
+  auto& waiting = work.store->waiting;
+  const auto at = std::ranges::find(waiting, &work, [](const auto& owned) { return owned.get(); });
+  std::unique_ptr<Work> taken = std::move(*at);
+  waiting.erase(at);
+  return taken;
+}
+
+// What came whole is an answer, whatever became of the connection after it.
+void Members::end(std::unique_ptr<Work> work) {
+  const bool acked = !work->code && work->complete && work->rows == 1;
+  const Ending ending = acked ? Ending::acked : work->code ? ending_of_code(*work->code) : Ending::errored;
+  end(std::move(work), ending);
+}
+
+// Sends, probes and their timers are given back here and nowhere else.
+void Members::end(std::unique_ptr<Work> work, Ending ending) {
+  timers_.drop(work->limit);
+  const Millis took = clock_.now() - work->from;
+  if (!work->send) return probe_done_({work->store->id, ending == Ending::acked, took, work->seen});
+  sends_.erase(*work->send);
+  SendEnded ended{work->send->first, work->send->second, work->store->id, ending, took, false, work->seen};
+  send_done_(std::move(ended), std::move(work->row));
+}
+
+// Connections are given back here and nowhere else; what one had in hand is returned.
+std::unique_ptr<Members::Work> Members::give_back(Connection& connection) {
+  if (connection.state == Connection::State::opening) --connection.store.opening;
+  if (connection.state == Connection::State::idle) std::erase(connection.store.idle, &connection);
+  connection.state = Connection::State::given_back;
+  if (connection.limit) timers_.drop(*std::exchange(connection.limit, std::nullopt));
+  asio::error_code ignored;
+  connection.socket.close(ignored);
+  std::unique_ptr<Work> work = std::move(connection.work);
+  const Connected last = *connection.place;  // callbacks that are still out hold it, too
+  connections_.erase(connection.place);
+  return work;
+}
+
+bool Members::close_an_idle_one() {
+  Connection* oldest = nullptr;
+  for (auto& [id, store] : stores_)
+    for (Connection* connection : store->idle)
+      if (!oldest || connection->idle_since < oldest->idle_since) oldest = connection;
+  if (oldest) give_back(*oldest);
+  return oldest != nullptr;
+}
+
+// Stores close what stands idle for the stated time; a tenth of it before, the connection is closed here, so
+// that no send crosses that. Twice as often as that tenth, so that none is missed.
+void Members::sweep() {
+  const Millis tenth = placement_.connection_idle / 10;
+  for (auto& [id, store] : stores_)
+    for (Connection* connection : std::vector(store->idle))
+      if (clock_.now() - connection->idle_since > placement_.connection_idle - 1.5 * tenth)
+        give_back(*connection);
+  sweep_ = timers_.set(clock_.now() + tenth / 2, [this] { sweep(); });
+}
+
+void Members::stop() {
+  if (sweep_) timers_.drop(*std::exchange(sweep_, std::nullopt));
+  while (!connections_.empty()) give_back(*connections_.front());
+}
+
+}  // namespace reedspindle::front
--- /dev/null
+++ b/src/front/members.hpp
@@ -0,0 +1,83 @@
+// The stores: connections to them, one op's send or one probe at a time on each, and how each ended.
+#pragma once
+
+#include <asio.hpp>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "front/buffer.hpp"
+#include "front/clock.hpp"
+#include "front/list.hpp"
+#include "front/log.hpp"
+#include "front/pgwire.hpp"
+#include "front/placement.hpp"
+
+namespace reedspindle::front {
+
+class Members {
+ public:
+  // How a send ended; with acked, the row as the store's messages gave it.
+  using SendDone = std::function<void(SendEnded, std::string row)>;
+  using ProbeDone = std::function<void(ProbeEnded)>;
+
+  Members(asio::io_context& io, Timers& timers, const Clock& clock, Log& log, const Placement& placement,
+          std::function<bool()> may_open, SendDone send_done, ProbeDone probe_done);
+
+  ~Members();
+
+  void learn(const StoreList& list);
+  void send(OpId op, SendNumber number, const MemberId& member, Millis time_out, const std::string& text,
+            pgwire::Place patience);
+  void call_off(OpId op, SendNumber number);
+  // The op has ended: what is not written of it yet never will be.
+  void forget(OpId op);
+  void probe(const MemberId& member, Millis time_out);
+
+  std::size_t descriptors() const { return connections_.size(); }
+  // Gives back the connection that has been idle longest, of any store. False: none is idle.
+  bool close_an_idle_one();
+  void stop();
+
+ private:
+  struct Work;
+  struct Store;
+  struct Connection;
+  using Connected = std::shared_ptr<Connection>;
+
+  void add(Store& store, std::unique_ptr<Work> work, Millis time_out);
+  void dispatch(Store& store);
+  void open(Store& store);
+  void opened_not(Connection& connection, Ending ending);
+  void begin(Connection& connection, std::unique_ptr<Work> work);
+  void read(const Connected& connection);
+  bool take(Connection& connection, const pgwire::Message& message);
+  void broken(Connection& connection);
+  void out_of_time(Work& work);
+  std::unique_ptr<Work> take_waiting(Work& work);
+  void end(std::unique_ptr<Work> work);
+  void end(std::unique_ptr<Work> work, Ending ending);
+  void rest(Connection& connection);
+  std::unique_ptr<Work> give_back(Connection& connection);
+  void sweep();
+
+  asio::io_context& io_;
+  Timers& timers_;
+  const Clock& clock_;
+  Log& log_;
+  const Placement& placement_;
+  const std::function<bool()> may_open_;  // whether a descriptor is left
+  const SendDone send_done_;
+  const ProbeDone probe_done_;
+  std::map<MemberId, std::unique_ptr<Store>> stores_;
+  std::list<Connected> connections_;  // the one owner of each
+  std::map<std::pair<OpId, SendNumber>, Work*> sends_;
+  std::optional<Timers::Handle> sweep_;
+};
+
+}  // namespace reedspindle::front
--- /dev/null
+++ b/src/front/pgwire.hpp
@@ -0,0 +1,74 @@
+// Version 3 of PostgreSQL's wire protocol as bytes and values, and the form of the statements that clients
+// send. Pure: no sockets, no clock, no state.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace reedspindle::front::pgwire {
+
+// Values are at most 64 KiB, twice that as hexadecimal digits; the rest of a statement is short.
+constexpr std::size_t kLongestMessage = 192 * 1024;
+
+struct Message {
+  char type = 0;                 // 0: a startup message, which has no type byte
+  std::string_view body, bytes;  // bytes: with its head
+};
+struct Partial {};
+struct Fault {
+  std::string code;  // SQLSTATE
+  std::string text;
+};
+using Read = std::variant<Partial, Message, Fault>;
+
+// The first message in the bytes held.
+Read read_message(std::string_view held);
+Read read_startup(std::string_view held);
+
+enum class Startup { session, encryption, cancel, unknown };
+Startup startup_kind(const Message& message);
+
+// Where a piece of a text stands.
+struct Place {
+  std::size_t at = 0, size = 0;
+};
+// A statement as a client sends it; the views point into its text.
+struct Statement {
+  std::string_view id, op_type, key;
+  double patience = 0;  // ms, as the client gives it
+  int group = 0;
+  double position = 0;  // that the read has to see; 0: none
+  bool repeat = false;
+  Place patience_place;
+};
+// In capitals; empty: nothing but blanks and semicolons.
+std::string first_word(std::string_view text);
+std::variant<Statement, Fault> read_statement(std::string_view text);
+// The same text with another patience.
+std::string with_patience(std::string_view text, Place place, double patience);
+
+// Bodies of what a store answers.
+struct ErrorFields {
+  std::string code, text;
+};
+std::optional<ErrorFields> read_error(std::string_view body);
+std::optional<std::pair<std::string_view, std::string_view>> read_parameter(std::string_view body);
+std::optional<std::size_t> columns(std::string_view row_description);
+std::optional<std::vector<std::string_view>> read_row(std::string_view data_row);
+
+// Messages to send.
+std::string startup(std::string_view user, std::string_view database);
+std::string query(std::string_view text);
+std::string welcome();  // AuthenticationOk up to ReadyForQuery
+std::string ready();
+std::string empty_answer();
+std::string completed(std::string_view tag);
+enum class Severity { error, fatal };
+std::string error(Severity severity, std::string_view code, std::string_view text,
+                  std::string_view detail = "");
+
+}  // namespace reedspindle::front::pgwire
--- /dev/null
+++ b/src/front/placement.cpp
@@ -0,0 +1,146 @@
+#include "front/placement.hpp"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <fstream>
+
+#include "values.hpp"
+
+namespace reedspindle::front {
+namespace {
+
+using Json = nlohmann::json;
+constexpr double kNsPerMs = 1e6;
+
+[[noreturn]] void wrong(const std::string& key, const std::string& expected) {
+  throw Malformed(fmt::format("{}: {} was expected", key, expected));
+}
+
+// A value of the configuration, with the key as messages name it.
+struct Key {
+  const Json* value = nullptr;  // null: missing
+  std::string name;
+
+  Key in(const std::string& inner) const {
+    const std::string full = name.empty() ? inner : name + "." + inner;
+    if (!value) return {nullptr, full};
+    if (!value->is_object()) wrong(name.empty() ? "ROUTER_CONFIG" : name, "an object");
+    const auto found = value->find(inner);
+    return {found == value->end() || found->is_null() ? nullptr : &*found, full};
+  }
+  std::string text(const char* expected) const {
+    if (!value || !value->is_string() || value->get<std::string>().empty()) wrong(name, expected);
+    return value->get<std::string>();
+  }
+  double number(double other, double least) const {
+    if (!value) return other;
+    const std::string expected = fmt::format("a number of at least {}", least);
+    if (!value->is_number() || value->get<double>() < least) wrong(name, expected);
+    return value->get<double>();
+  }
+};
+
+template <typename Endpoint>
+Endpoint endpoint_of(const std::string& text, const std::string& key) {
+  const std::size_t colon = text.rfind(':');
+  asio::error_code fault;
+  const auto address = asio::ip::make_address(text.substr(0, colon), fault);
+  const std::string port = colon == std::string::npos ? "" : text.substr(colon + 1);
+  const bool digits =
+      !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
+  if (fault || !digits || std::stoul(port) > 65535) wrong(key, "an address and a port such as 10.0.0.4:6432");
+  return {address, static_cast<std::uint16_t>(std::stoul(port))};
+}
+
+// The environment's word comes first; the file holds the same and more.
+std::string told(const Environment& environment, const char* variable, const Key& key, const char* expected) {
+  const char* text = environment(variable);
+  if (text && *text) return text;
+  if (!key.value)
+    throw Malformed(fmt::format("{} and {}: {} was expected in one", variable, key.name, expected));
+  return key.text(expected);
+}
+
+template <typename T>
+std::map<std::string, T, std::less<>> names_of(const Key& list, const char* inner) {
+  std::map<std::string, T, std::less<>> names;
+  if (!list.value) return names;
+  if (!list.value->is_array()) wrong(list.name, "an array");
+  for (std::size_t i = 0; i < list.value->size(); ++i) {
+    const Key row{&(*list.value)[i], fmt::format("{}[{}]", list.name, i)};
+    names[(inner ? row.in(inner) : row).text("a name")] = T{static_cast<int>(i)};
+  }
+  return names;
+}
+
+}  // namespace
+
+Placement read_placement(const Environment& environment) {
+  const char* path = environment("ROUTER_CONFIG");
+  if (!path || !*path) wrong("ROUTER_CONFIG", "the path of the configuration file");
+  std::ifstream file(path);
+  if (!file) wrong("ROUTER_CONFIG", fmt::format("a file that can be read, not {},", path));
+  const Json json = Json::parse(file, nullptr, false);
+  if (json.is_discarded() || !json.is_object()) wrong("ROUTER_CONFIG", "a file that holds a JSON object");
+  const Key top{&json, ""};
+
+  Placement placement;
+  const char* address = "an address and a port";
+  placement.name = told(environment, "ROUTER_NAME", top.in("name"), "a name");
+  placement.listen = endpoint_of<asio::ip::tcp::endpoint>(
+      told(environment, "ROUTER_LISTEN", top.in("listen"), address), "listen");
+  placement.discovery = endpoint_of<asio::ip::tcp::endpoint>(
+      told(environment, "ROUTER_DISCOVERY", top.in("discovery"), address), "discovery");
+
+  const Key seed = top.in("seed");
+  if (seed.value) {
+    const std::string text = seed.text("up to 16 hexadecimal digits");
+    if (text.size() > 16 || text.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
+      wrong(seed.name, "up to 16 hexadecimal digits");
+    placement.seed = std::stoull(text, nullptr, 16);
+  }
+  placement.sockets = static_cast<std::size_t>(top.in("limits").in("sockets").number(1024, 64));
+  if (top.in("peer_listen").value) {
+    using Endpoint = asio::ip::udp::endpoint;
+    placement.hears_peers = true;
+    placement.peer_listen = endpoint_of<Endpoint>(top.in("peer_listen").text(address), "peer_listen");
+    placement.peers_all = endpoint_of<Endpoint>(top.in("peers_all").text(address), "peers_all");
+    const Key peers = top.in("peers");
+    if (!peers.value || !peers.value->is_array()) wrong(peers.name, "an array of addresses");
+    for (std::size_t i = 0; i < peers.value->size(); ++i) {
+      const Key peer{&(*peers.value)[i], fmt::format("peers[{}]", i)};
+      placement.peers.push_back(endpoint_of<Endpoint>(peer.text(address), peer.name));
+    }
+  }
+  if (const Key known = top.in("known"); known.value) placement.known = *known.value;
+
+  const Key settings = top.in("settings");
+  if (!settings.value || !settings.value->is_object()) wrong("settings", "an object");
+  try {
+    placement.values = values_of(*settings.value);
+  } catch (const std::exception& fault) {
+    throw Malformed(fmt::format("settings: {}", fault.what()));
+  }
+  const Key types = settings.in("requestClasses");
+  placement.catalogue.op_types = names_of<OpTypeId>(types, "name");
+  if (placement.catalogue.op_types.empty()) wrong(types.name, "at least one op type");
+  placement.catalogue.zones = names_of<ZoneId>(settings.in("zones"), nullptr);
+  placement.catalogue.kinds = names_of<int>(settings.in("shapes"), nullptr);
+  const Key discovery = settings.in("discovery");
+  placement.list_is_asked = discovery.value && discovery.text("push or ask") == "ask";
+
+  const Key allowed = settings.in("ceilings"), rules = settings.in("rules");
+  placement.open_ops = static_cast<std::size_t>(allowed.in("maxOpen").number(20000, 1));
+  placement.sends_per_op = static_cast<std::size_t>(allowed.in("maxAttempts").number(1, 1));
+  placement.connect_time_out = allowed.in("connectTimeout").number(250 * kNsPerMs, 1) / kNsPerMs;
+  placement.connection_idle = allowed.in("connIdle").number(15000 * kNsPerMs, 1) / kNsPerMs;
+  placement.drain_grace = rules.in("stopSendingWithin").number(1000 * kNsPerMs, 0) / kNsPerMs;
+  for (std::size_t i = 0; i < types.value->size(); ++i) {
+    const Key type{&(*types.value)[i], fmt::format("{}[{}]", types.name, i)};
+    placement.longest_op = std::max(placement.longest_op, type.in("deadline").number(0, 0) / kNsPerMs);
+  }
+  return placement;
+}
+
+}  // namespace reedspindle::front
--- /dev/null
+++ b/src/front/placement.hpp
@@ -0,0 +1,47 @@
+// What a front is told at start, by its environment and its configuration file: read, checked and given
+// defaults here and nowhere else.
+#pragma once
+
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "logic.hpp"
+
+namespace reedspindle::front {
+
+// Names that the settings give to what the module knows by number.
+struct Catalogue {
+  std::map<std::string, OpTypeId, std::less<>> op_types;
+  std::map<std::string, ZoneId, std::less<>> zones;
+  std::map<std::string, int, std::less<>> kinds;
+};
+
+struct Placement {
+  std::string name;
+  asio::ip::tcp::endpoint listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 0;  // descriptors that the process may hold
+  bool hears_peers = false;
+  asio::ip::udp::endpoint peer_listen, peers_all;
+  std::vector<asio::ip::udp::endpoint> peers;  // by their numbers
+  nlohmann::json known;                        // the list as it was had last; null: none
+  Values values;
+  Catalogue catalogue;
+  bool list_is_asked = false;  // the module says when to ask for the list
+  // Limits stated by the settings.
+  std::size_t open_ops = 0, sends_per_op = 0;
+  Millis connect_time_out = 0, connection_idle = 0, longest_op = 0, drain_grace = 0;
+};
+
+// Looks a name up in the environment; null when it is not set.
+using Environment = std::function<const char*(const char*)>;
+
+// Throws Malformed; its message names the faulty key and what was expected.
+Placement read_placement(const Environment& environment);
+
+}  // namespace reedspindle::front
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -670,7 +670,8 @@
     std::vector<Decision> out;
     if (std::exchange(want_watch_, false)) out.push_back(WatchList{}), next_watch_ = kForever;
     for (Member* member : std::exchange(want_probes_, {})) {
-      out.push_back(Probe{member->entry.member});
+      // As long as a connection may take to come up: such probes have failed long before.
+      out.push_back(Probe{member->entry.member, catalog_.number("allow.connect_time_out", 250)});
       member->probe_out = now_;
       member->next_probe = now_ + kProbePeriod * 0.75;
     }
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -145,6 +145,7 @@
 };
 struct Probe {
   MemberId member;
+  Millis time_out = 0;
 };
 struct WatchList {};
 struct TellPeers {
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -13,7 +13,7 @@
     try {
       const std::string reply = host.take(line);
       if (!reply.empty()) std::cout << reply << std::flush;
-    } catch (const reedspindle::simhost::Malformed& fault) {
+    } catch (const reedspindle::Malformed& fault) {
       std::cerr << "line " << number << ": " << fault.what() << '\n';
       return 2;
     }
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -16,13 +16,6 @@
   return at < line.size() ? line[at] : null;
 }
 
-double number_or(const Json& value, double other) {
-  if (value.is_null()) return other;
-  if (value.is_boolean()) return value.get<bool>() ? 1 : 0;
-  if (!value.is_number()) throw Malformed("a number was expected, not " + value.dump());
-  return value.get<double>();
-}
-
 double needed(const Json& line, std::size_t at) {
   if (field(line, at).is_null()) throw Malformed("value " + std::to_string(at) + " is missing");
   return number_or(field(line, at), 0);
@@ -30,12 +23,6 @@
 
 double ms(const Json& line, std::size_t at) { return number_or(field(line, at), 0) / kNsPerMs; }
 
-std::string word_or(const Json& value, const std::string& other) {
-  if (value.is_null()) return other;
-  if (!value.is_string()) throw Malformed("a text was expected, not " + value.dump());
-  return value.get<std::string>();
-}
-
 std::string needed_word(const Json& line, std::size_t at) {
   if (field(line, at).is_null()) throw Malformed("value " + std::to_string(at) + " is missing");
   return word_or(line[at], "");
@@ -47,30 +34,6 @@
   return value.get<std::uint64_t>();
 }
 
-std::string word_for(const std::string& wire) {
-  static const std::map<std::string, std::string> words = {
-      {"repeatable", "retryable"}, {"by_key", "tokened"},     {"once", "non-retryable"}, {"update", "write"},
-      {"latest", "current"},       {"own_writes", "session"}, {"recent", "bounded"},     {"loose", "any"},
-      {"cell", "group"},           {"reject", "turns_away"},  {"hold", "waits"},         {"silent", "none"},
-      {"client", "carried"},       {"router", "remembered"},  {"initial", "start"},      {"delayed", "late"},
-      {"pull", "probes"},          {"piggyback", "answers"}};
-  const auto found = words.find(wire);
-  return found == words.end() ? wire : found->second;
-}
-
-void put(Values& values, const std::string& name, const Json& value, double per_unit) {
-  if (value.is_string())
-    values[name] = word_for(value.get<std::string>());
-  else if (value.is_number() || value.is_boolean())
-    values[name] = number_or(value, 0) / per_unit;
-}
-
-struct Setting {
-  const char* wire;
-  const char* name;
-  double per_unit;
-};
-
 ListedMember listed(const Json& row) {
   if (!row.is_array()) throw Malformed("a list entry is no array");
   ListedMember member;
@@ -144,81 +107,6 @@
 
 }  // namespace
 
-Values values_of(const Json& conf) {
-  static const std::vector<Setting> settings = {
-      {"az", "zone", 1},
-      {"nInstances", "instances", 1},
-      {"rank", "rank", 1},
-      {"quantum", "tick", kNsPerMs},
-      {"discovery", "list", 1},
-      {"weights", "sizes", 1},
-      {"ceilings.cancel", "allow.call_off", 1},
-      {"ceilings.connectTimeout", "allow.connect_time_out", kNsPerMs},
-      {"ceilings.maxAttempts", "allow.sends_per_op", 1},
-      {"ceilings.maxOpen", "allow.open_ops", 1},
-      {"ceilings.maxRetryAfter", "allow.longest_come_back", kNsPerMs},
-      {"ceilings.mayTell", "allow.peers", 1},
-      {"ceilings.probes", "allow.probes", 1},
-      {"ceilings.retryAfter", "allow.come_back", 1},
-      {"ceilings.secondCopies", "allow.second_copies", 1},
-      {"ceilings.streamsPerConn", "allow.sends_per_connection", 1},
-      {"costs.crossZone", "price.cross_zone", 1},
-      {"costs.waste", "price.waste", 1},
-      {"costs.probe", "price.probe", 1},
-      {"costs.peer", "price.peer", 1},
-      {"costs.lateFail", "price.late_fail", 1},
-      {"familyInfo.behind", "checks", 1},
-      {"familyInfo.commitWaits", "commit_waits", 1},
-      {"familyInfo.positions", "answers_carry_positions", 1},
-      {"familyInfo.roleListed", "list_role", 1},
-      {"familyInfo.tokens", "tokens", 1},
-      {"familyInfo.wait", "check_wait", kNsPerMs},
-      {"report.how", "report", 1},
-      {"rules.graceToAnswer", "rule.answer_slack", kNsPerMs},
-      {"rules.askWithin", "rule.ask_within", kNsPerMs},
-      {"rules.coldFrom", "rule.cold_from", 1},
-      {"rules.warmWithin", "rule.warm_within", kNsPerMs},
-      {"rules.stopSendingWithin", "rule.drain_grace", kNsPerMs},
-      {"rules.fallMultiple", "rule.fall_multiple", 1},
-      {"rules.fall", "rule.fall", kNsPerMs},
-      {"rules.droppedStayOpen", "rule.only_draining_binds", 1}};
-  static const std::vector<Setting> of_op_type = {{"aimStretch", "target_stretch", 1},
-                                                  {"goalTime", "latency_target", kNsPerMs},
-                                                  {"deadline", "op_timeout", kNsPerMs},
-                                                  {"effect", "effect", 1},
-                                                  {"keyScope", "token_scope", 1},
-                                                  {"lateValue", "late_value", 1},
-                                                  {"dedupWindow", "token_memory", kNsPerMs},
-                                                  {"importance", "value", 1}};
-
-  Values values;
-  if (!conf.is_object()) throw Malformed("the settings are no object");
-  for (const Setting& setting : settings) {
-    const Json* at = &conf;
-    std::string path = setting.wire;
-    for (std::size_t dot; at && (dot = path.find('.')) != std::string::npos; path = path.substr(dot + 1)) {
-      const auto inner = at->find(path.substr(0, dot));
-      at = inner != at->end() && inner->is_object() ? &*inner : nullptr;
-    }
-    if (at && at->contains(path)) put(values, setting.name, (*at)[path], setting.per_unit);
-  }
-  const Json types = conf.value("requestClasses", Json::array());
-  const Json family =
-      conf.contains("familyInfo") && conf["familyInfo"].is_object() ? conf["familyInfo"] : Json::object();
-  const Json needs = family.value("needsByClass", Json::array());
-  const Json bounds = family.value("oldestData", Json::array());
-  values["op_types"] = static_cast<double>(types.size());
-  for (std::size_t i = 0; i < types.size(); ++i) {
-    const std::string prefix = "op_type." + std::to_string(i) + ".";
-    for (const Setting& setting : of_op_type)
-      if (types[i].contains(setting.wire))
-        put(values, prefix + setting.name, types[i][setting.wire], setting.per_unit);
-    put(values, prefix + "needs", field(needs, i), 1);
-    put(values, prefix + "bound", field(bounds, i), kNsPerMs);
-  }
-  return values;
-}
-
 std::string Host::take(const std::string& line) {
   if (line.find_first_not_of(" \t\r") == std::string::npos) return "";
   Json parsed = Json::parse(line, nullptr, false);
--- a/src/simhost/wire.hpp
+++ b/src/simhost/wire.hpp
@@ -5,18 +5,14 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "logic.hpp"
+#include "values.hpp"
 
 namespace reedspindle::simhost {
 
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 class Host {
  public:
   // Takes one line; at the end of a batch it returns the whole reply, else nothing. Throws Malformed.
@@ -48,7 +44,4 @@
   std::map<int, std::vector<ListedMember>> lists_;
 };
 
-// The settings of Born under the module's names (times in ms).
-Values values_of(const nlohmann::json& conf);
-
 }  // namespace reedspindle::simhost
--- /dev/null
+++ b/src/values.hpp
@@ -0,0 +1,25 @@
+// The settings object that an instance is handed at start, on the simulator's wire as in a front's
+// placement, turned into the module's Values. It only translates: words, units and places.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+#include "logic.hpp"
+
+namespace reedspindle {
+
+// What was handed over does not read as it should; the message says where.
+struct Malformed : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// Missing values become the other; a value of another kind is malformed.
+double number_or(const nlohmann::json& value, double other);
+std::string word_or(const nlohmann::json& value, const std::string& other);
+
+// The settings under the module's names (times in ms).
+Values values_of(const nlohmann::json& settings);
+
+}  // namespace reedspindle
