--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -103,8 +103,9 @@
   members_.learn(list);
   ListRead read{list.kind, {}};
   for (ListedStore& store : list.stores) read.members.push_back(std::move(store.entry));
+  const bool in_hand = list.kind != ListKind::failed && !read.members.empty();
   noted_.push_back({std::move(read)});
-  if (list.kind != ListKind::failed && !read.members.empty()) clients_.be_ready();
+  if (in_hand) clients_.be_ready();
 }
 
 void Front::send_ended(SendEnded ended, std::string row) {
