--- a/src/front/pgwire.cpp
+++ b/src/front/pgwire.cpp
@@ -117,6 +117,8 @@
       ++at;
     }
   }
+  if (const std::string word = first_word(text); word != "SELECT" && word != "INSERT")
+    return fault("0A000", "SELECT and INSERT only");
   if (comment.data() == nullptr) return fault("42601", "the statement has no comment that tells of the op");
   bool has_group = false;
   while (!comment.empty()) {
--- /dev/null
+++ b/tests/front.cpp
@@ -0,0 +1,491 @@
+// Starts the front on loopback between small stand-ins for clients, stores and discovery, plays a case file
+// to them and prints each line with what was seen. A case file holds what is expected (lines starting with "
+// "), which is skipped on reading: the output is compared with the file itself. Nothing here waits for a
+// fixed time: each line waits for what it names, and gives up after half a minute.
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstring>
+#include <deque>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "front/pgwire.hpp"
+
+namespace {
+using Json = nlohmann::json;
+namespace pgwire = reedspindle::front::pgwire;
+
+const char* const kPlacement = R"({"name": "n0", "seed": "5", "limits": {"sockets": 1024}, "settings": {
+  "nInstances": 1, "quantum": 5000000,
+  "ceilings": {"cancel": true, "connIdle": 30000000000, "connectTimeout": 250000000, "maxAttempts": 6,
+               "maxRetryAfter": 1000000000, "probes": false, "retryAfter": true},
+  "rules": {"stopSendingWithin": 500000000},
+  "familyInfo": {"needsByClass": ["loose", "update", "own_writes"], "tokens": "client"},
+  "requestClasses": [
+    {"name": "look", "deadline": 9000000000, "goalTime": 9000000000, "effect": "repeatable"},
+    {"name": "book", "deadline": 9000000000, "goalTime": 9000000000, "effect": "by_key", "keyScope": "cell",
+     "dedupWindow": 9000000000},
+    {"name": "mine", "deadline": 9000000000, "goalTime": 9000000000, "effect": "repeatable"}]}})";
+
+struct Link {
+  int fd = -1;
+  std::string held;  // read and not yet taken
+  bool started = false, ended = false, greeted = false;
+  std::string asked;  // by the front, not yet answered
+};
+
+struct Store {
+  std::string address;
+  int listening = -1;
+  std::string manner = "welcomes", vitals;
+  std::deque<Link> links;
+  std::deque<std::string> gets;
+};
+
+[[noreturn]] void give_up(const std::string& why) {
+  std::cout << "  gave up: " << why << std::endl;
+  std::exit(1);
+}
+
+sockaddr_in address_of(const std::string& text) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  const std::size_t colon = text.find(':');
+  inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr);
+  address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1))));
+  return address;
+}
+
+// An address of this process alone, with a port that is free.
+int listen_at(std::string& text) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address = address_of(text);
+  socklen_t size = sizeof address;
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || listen(fd, 64) != 0) give_up("no port");
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  text = text.substr(0, text.find(':') + 1) + std::to_string(ntohs(address.sin_port));
+  return fd;
+}
+
+void put(int fd, const std::string& bytes) {
+  std::size_t done = 0;
+  while (done < bytes.size()) {
+    const ssize_t count = write(fd, bytes.data() + done, bytes.size() - done);
+    if (count <= 0) return;
+    done += static_cast<std::size_t>(count);
+  }
+}
+
+// Reads what is there. False at the end.
+bool fill(Link& link) {
+  char bytes[65536];
+  const ssize_t count = read(link.fd, bytes, sizeof bytes);
+  if (count <= 0) return false;
+  link.held.append(bytes, static_cast<std::size_t>(count));
+  return true;
+}
+
+std::string message(char type, std::string body) {
+  const std::size_t length = body.size() + 4;
+  std::string out(1, type);
+  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(length >> shift & 0xff);
+  return out + body;
+}
+
+std::string row_of(const std::string& value) {
+  using namespace std::string_literals;
+  const auto size = static_cast<char>(value.size());
+  return message('T', "\0\1v\0"s + std::string(18, '\0')) + message('D', "\0\1\0\0\0"s + size + value) +
+         message('C', "SELECT 1\0"s);
+}
+
+std::string unescaped(const std::string& text) {  // "\x00" and the like, "*N" at the end: N times over
+  std::string out;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    if (text.compare(at, 2, "\\x") == 0) {
+      out += static_cast<char>(std::stoi(text.substr(at + 2, 2), nullptr, 16));
+      at += 3;
+    } else {
+      out += text[at];
+    }
+  }
+  return out;
+}
+
+class Stage {
+ public:
+  explicit Stage(std::string front) : program_(std::move(front)), placement_(Json::parse(kPlacement)) {
+    const int number = getpid();
+    net_ = "127." + std::to_string(64 + number / 65536 % 64) + "." + std::to_string(number / 256 % 256) + ".";
+    own_ = std::to_string(number % 250 + 1) + ":0";
+    std::string listen = net_ + own_;
+    close(listen_at(listen));
+    placement_["listen"] = listen_ = listen;
+    std::string discovery = net_ + own_;
+    discovery_listening_ = listen_at(discovery);
+    placement_["discovery"] = discovery;
+    path_ = "placement." + std::to_string(number) + ".json";
+  }
+  ~Stage() {
+    if (child_ > 0) kill(child_, SIGKILL);
+    unlink(path_.c_str());
+  }
+
+  void play(const std::string& text) {
+    std::istringstream line(text);
+    std::string who, what, rest;
+    line >> who;
+    if (who == "given") {
+      line >> what;
+      std::getline(line, rest);
+      rest == " none" ? void(placement_.erase(what))
+                      : void(placement_[Json::json_pointer(what)] = Json::parse(rest));
+    } else if (who == "stores") {
+      while (line >> what) add_store(what);
+      placement_["known"] = Json::parse(list_of(41, true));
+    } else if (who == "start") {
+      start();
+    } else if (who == "fails") {
+      start_child();
+      wait_exit();
+    } else if (who == "client") {
+      line >> rest >> what;
+      client(rest, what, remainder(line));
+    } else if (who == "store") {
+      line >> rest >> what;
+      store(stores_.at(rest), what, line);
+    } else if (who == "discovery") {
+      line >> what;
+      discovery(what, remainder(line));
+    } else if (who == "stop") {
+      kill(child_, SIGTERM);
+    } else if (who == "exits") {
+      wait_exit();
+    } else {
+      give_up("no such line");
+    }
+  }
+
+ private:
+  static std::string remainder(std::istringstream& line) {
+    std::string rest;
+    std::getline(line >> std::ws, rest);
+    return rest;
+  }
+
+  void add_store(const std::string& spec) {  // "a:source", "b:copy"
+    const std::string name = spec.substr(0, spec.find(':'));
+    Store& store = stores_[name];
+    store.address = net_ + own_;
+    store.listening = listen_at(store.address);
+    rows_[name] = {{"uid", name},
+                   {"endpoint", store.address},
+                   {"az", "z"},
+                   {"model", "m"},
+                   {"pod_group", 3},
+                   {"state", "active"},
+                   {"capacity_hint", 1},
+                   {"boot_ms", 0},
+                   {"rank", spec.substr(spec.find(':') + 1)}};
+  }
+  std::string list_of(int rev, bool all, const std::string& only = "") {
+    Json targets = Json::array();
+    for (const auto& [name, row] : rows_)
+      if (all || name == only) targets.push_back(row);
+    return Json{{"rev", rev}, {"all", all}, {"targets", targets}}.dump();
+  }
+
+  void start_child() {
+    std::ofstream(path_) << placement_.dump();
+    int errors[2];
+    if (pipe(errors) != 0) give_up("no pipe");
+    child_ = fork();
+    if (child_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      dup2(errors[1], STDOUT_FILENO);
+      dup2(errors[1], STDERR_FILENO);
+      close(errors[0]), close(errors[1]);
+      setenv("ROUTER_CONFIG", path_.c_str(), 1);
+      execl(program_.c_str(), program_.c_str(), nullptr);
+      _exit(127);
+    }
+    close(errors[1]);
+    errors_ = errors[0];
+  }
+  void start() {
+    start_child();
+    wait_for("the front to listen", [this] {
+      Link probe{connect_to(listen_), "", false, false, false, ""};
+      if (probe.fd >= 0) close(probe.fd);
+      return probe.fd >= 0;
+    });
+  }
+  int connect_to(const std::string& text) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = address_of(text);
+    if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) return fd;
+    close(fd);
+    return -1;
+  }
+  void wait_exit() {
+    std::string said;
+    char bytes[4096];
+    int status = 0;
+    wait_for("the front to exit", [&] {
+      pollfd out{errors_, POLLIN, 0};
+      while (poll(&out, 1, 0) == 1) {
+        const ssize_t count = read(errors_, bytes, sizeof bytes);
+        if (count <= 0) break;
+        said.append(bytes, static_cast<std::size_t>(count));
+      }
+      return waitpid(child_, &status, WNOHANG) == child_;
+    });
+    child_ = 0;
+    std::cout << "  exit code " << (WIFEXITED(status) ? WEXITSTATUS(status) : -1) << '\n';
+    if (said.starts_with("reedspindle: ")) std::cout << "  " << said;
+  }
+
+  // Serves the stores' connections until what is waited for is there.
+  void wait_for(const std::string& what, const std::function<bool()>& there) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!there()) {
+      if (std::chrono::steady_clock::now() > end) give_up("waited for " + what);
+      turn();
+    }
+  }
+  void turn() {
+    std::vector<pollfd> fds;
+    for (auto& [name, store] : stores_) {
+      if (store.listening >= 0) fds.push_back({store.listening, POLLIN, 0});
+      for (Link& link : store.links)
+        if (!link.ended) fds.push_back({link.fd, POLLIN, 0});
+    }
+    for (auto& [name, link] : clients_)
+      if (!link.ended) fds.push_back({link.fd, POLLIN, 0});
+    poll(fds.data(), fds.size(), 5);
+    const auto readable = [&](int fd) {
+      for (const pollfd& at : fds)
+        if (at.fd == fd) return at.revents != 0;
+      return false;
+    };
+    for (auto& [name, link] : clients_)
+      if (!link.ended && readable(link.fd)) link.ended = !fill(link);
+    for (auto& [name, store] : stores_) {
+      for (Link& link : store.links)
+        if (!link.ended && readable(link.fd)) serve(store, link);
+      if (store.listening >= 0 && readable(store.listening))
+        store.links.push_back(
+            {accept4(store.listening, nullptr, nullptr, SOCK_CLOEXEC), "", false, false, false, ""});
+    }
+  }
+  void serve(Store& store, Link& link) {
+    if (!fill(link)) {
+      link.ended = true;
+      close(link.fd);
+      return;
+    }
+    for (;;) {
+      const auto read = link.started ? pgwire::read_message(link.held) : pgwire::read_startup(link.held);
+      const auto* got = std::get_if<pgwire::Message>(&read);
+      if (!got) return;
+      const std::string text(got->body.substr(0, got->body.find('\0')));
+      const std::size_t size = got->bytes.size();
+      if (!std::exchange(link.started, true)) {
+        if (store.manner == "welcomes") put(link.fd, pgwire::welcome());
+        if (store.manner == "full")
+          put(link.fd, pgwire::error(pgwire::Severity::fatal, "53300", "too many connections"));
+      } else if (text == "SHOW vitals") {
+        put(link.fd, row_of(with_now(store.vitals, true)) + pgwire::ready());
+      } else {
+        link.asked = text;
+        store.gets.push_back(text);
+      }
+      link.held.erase(0, size);
+    }
+  }
+
+  static long long now() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  }
+  // NOW stands for the time in ms, in vitals in seconds.
+  static std::string with_now(std::string text, bool seconds = false) {
+    if (const std::size_t at = text.find("NOW"); at != std::string::npos)
+      text.replace(at, 3,
+                   seconds ? std::to_string(static_cast<double>(now()) / 1000) : std::to_string(now()));
+    return text;
+  }
+
+  void client(const std::string& name, const std::string& what, const std::string& rest) {
+    if (what == "leaves") {
+      close(clients_.at(name).fd);
+      clients_.erase(name);
+      return;
+    }
+    if (what == "hears") return hears(clients_.at(name));
+    if (what == "finds") {  // "finds nobody": the front listens no more
+      wait_for("the front to listen no more", [this] {
+        const int fd = connect_to(listen_);
+        if (fd >= 0) close(fd);
+        return fd < 0;
+      });
+      return;
+    }
+    if (!clients_.contains(name)) {
+      Link& link = clients_[name];
+      link.fd = connect_to(listen_);
+      if (link.fd < 0) give_up("no connection to the front");
+      if (what != "opens") put(link.fd, pgwire::startup("svc", "main")), link.started = true;
+    }
+    if (what == "asks") put(clients_[name].fd, pgwire::query(with_now(rest)));
+    if (what == "sends") put(clients_[name].fd, unescaped(rest));
+    if (what == "sends-long") put(clients_[name].fd, pgwire::query(std::string(std::stoul(rest), 'x')));
+    if (what == "opens" && !rest.empty()) put(clients_[name].fd, unescaped(rest));
+  }
+
+  // Prints answers up to the next that is whole.
+  void hears(Link& link) {
+    for (bool whole = false; !whole;) {
+      wait_for("an answer", [&] { return !link.held.empty() || link.ended; });
+      if (!link.started && link.held.starts_with("N")) {
+        std::cout << "  no encryption\n";
+        link.held.erase(0, 1);
+        put(link.fd, pgwire::startup("svc", "main"));
+        return void(link.started = true);
+      }
+      pgwire::Read read = pgwire::read_message(link.held);
+      wait_for("an answer", [&] {
+        return !std::holds_alternative<pgwire::Partial>(read = pgwire::read_message(link.held)) || link.ended;
+      });
+      const auto* got = std::get_if<pgwire::Message>(&read);
+      if (!got) return void(std::cout << "  end\n");
+      whole = got->type == 'Z' && link.greeted;
+      if (got->type == 'Z') link.greeted = true;
+      if (got->type == 'I') std::cout << "  empty\n";
+      if (got->type == 'D') std::cout << "  row " << pgwire::read_row(got->body)->at(0) << '\n';
+      if (got->type == 'C') std::cout << "  " << got->body.substr(0, got->body.find('\0')) << '\n';
+      if (got->type == 'E') {
+        const auto fault = *pgwire::read_error(got->body);
+        const std::size_t detail = got->body.find(std::string("\0D", 2));
+        std::cout << "  " << got->body.substr(1, 5) << ' ' << fault.code << ' ' << fault.text;
+        if (detail != std::string::npos) std::cout << ", D " << got->body.data() + detail + 2;
+        std::cout << '\n';
+      }
+      link.held.erase(0, got->bytes.size());
+    }
+  }
+
+  void store(Store& store, const std::string& what, std::istringstream& line) {
+    std::string id, text;
+    if (what == "gets") {
+      wait_for("a send", [&] { return !store.gets.empty(); });
+      std::cout << "  " << checked(store.gets.front()) << '\n';
+      return store.gets.pop_front();
+    }
+    if (what == "tells") return void(store.vitals = remainder(line));
+    if (what == "refuses") return void(close(std::exchange(store.listening, -1)));
+    if (what == "welcomes" || what == "full" || what == "hangs") return void(store.manner = what);
+    line >> id;
+    Link* link = nullptr;
+    for (Link& at : store.links)
+      if (at.asked.find("id=" + id + ",") != std::string::npos) link = &at;
+    if (!link) give_up("no send with that id");
+    if (what == "acks") {  // "acks 7 VALUE rank copy as_of NOW"
+      std::string answer, name, value;
+      line >> text;
+      answer = row_of(text);
+      while (line >> name >> value) answer += message('S', name + '\0' + with_now(value) + '\0');
+      put(link->fd, answer + pgwire::ready());
+      link->asked.clear();
+    } else if (what == "says") {
+      line >> text;
+      put(link->fd, pgwire::error(pgwire::Severity::error, text, "so the store says") + pgwire::ready());
+      link->asked.clear();
+    } else if (what == "sends") {
+      put(link->fd, unescaped(remainder(line)));
+    } else if (what == "ends") {
+      close(link->fd);
+      link->ended = true;
+      link->asked.clear();
+    } else if (what == "left") {
+      wait_for("the front to end that connection", [&] { return link->ended; });
+      link->asked.clear();
+    } else {
+      give_up("no such store line");
+    }
+  }
+  // The patience passed on varies by what has gone by: it may only be shorter than the client's.
+  static std::string checked(std::string text) {
+    const std::size_t at = text.find(",d=") + 3, end = text.find_first_not_of("0123456789", at);
+    const long patience = std::stol(text.substr(at, end - at));
+    return text.replace(at, end - at, patience > 0 && patience <= 9000 ? "(left)" : "(too long)");
+  }
+
+  void discovery(const std::string& what, const std::string& rest) {
+    if (what == "gets") {
+      wait_for("a call", [&] {
+        pollfd at{discovery_.fd >= 0 ? discovery_.fd : discovery_listening_, POLLIN, 0};
+        if (poll(&at, 1, 0) != 1) return false;
+        if (discovery_.fd < 0)
+          discovery_.fd = accept4(discovery_listening_, nullptr, nullptr, SOCK_CLOEXEC);
+        else if (!fill(discovery_))
+          close(std::exchange(discovery_.fd, -1));
+        return discovery_.held.find("\r\n\r\n") != std::string::npos;
+      });
+      std::cout << "  " << discovery_.held.substr(0, discovery_.held.find("\r\n")) << '\n';
+      discovery_.held.clear();
+    } else if (what == "tells") {  // "tells 43 changes b leaving", "tells 43 all"
+      std::istringstream line(rest);
+      int rev = 0;
+      std::string kind, name, state;
+      line >> rev >> kind >> name >> state;
+      if (!state.empty()) rows_.at(name)["state"] = state;
+      const std::string body = list_of(rev, kind == "all", name);
+      put(discovery_.fd,
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    } else if (what == "says") {
+      put(discovery_.fd, unescaped(rest));
+    } else {
+      close(std::exchange(discovery_.fd, -1));
+    }
+  }
+
+  const std::string program_;
+  Json placement_;
+  std::string net_, own_, listen_, path_;
+  int discovery_listening_ = -1, errors_ = -1;
+  pid_t child_ = 0;
+  Link discovery_;
+  std::map<std::string, Store> stores_;
+  std::map<std::string, Json> rows_;
+  std::map<std::string, Link> clients_;
+};
+}  // namespace
+
+int main(int, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::ifstream file(argv[2]);
+  Stage stage(argv[1]);
+  for (std::string text; std::getline(file, text);) {
+    if (text.starts_with("  ")) continue;
+    std::cout << text << std::endl;
+    if (!text.empty() && text[0] != '#') stage.play(text);
+  }
+}
