Test stand-ins each at an address of their own: a freed port could come back as another's

Checked: the front's port was found by binding and closing, then discovery and stores bound to free ports at the same address.

--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -131,16 +131,13 @@
 class Stage {
  public:
   explicit Stage(std::string front) : program_(std::move(front)), placement_(Json::parse(kPlacement)) {
-    const int number = getpid();
-    net_ = "127." + std::to_string(64 + number / 65536 % 64) + "." + std::to_string(number / 256 % 256) + ".";
-    own_ = std::to_string(number % 250 + 1) + ":0";
-    std::string listen = net_ + own_;
+    // Each party at an address of its own: the front's port is free again until the front takes it.
+    std::string listen = place(64), discovery = place(96);
     close(listen_at(listen));
     placement_["listen"] = listen_ = listen;
-    std::string discovery = net_ + own_;
     discovery_listening_ = listen_at(discovery);
     placement_["discovery"] = discovery;
-    path_ = "placement." + std::to_string(number) + ".json";
+    path_ = "placement." + std::to_string(getpid()) + ".json";
   }
   ~Stage() {
     if (child_ > 0) kill(child_, SIGKILL);
@@ -189,10 +186,15 @@
     return rest;
   }
 
+  static std::string place(int role) {
+    const int number = getpid();
+    return "127." + std::to_string(role + number / 65536 % 32) + "." + std::to_string(number / 256 % 256) +
+           "." + std::to_string(number % 256) + ":0";
+  }
   void add_store(const std::string& spec) {  // "a:source", "b:copy"
     const std::string name = spec.substr(0, spec.find(':'));
     Store& store = stores_[name];
-    store.address = net_ + own_;
+    store.address = place(128);
     store.listening = listen_at(store.address);
     rows_[name] = {{"uid", name},
                    {"endpoint", store.address},
@@ -469,7 +471,7 @@
 
   const std::string program_;
   Json placement_;
-  std::string net_, own_, listen_, path_;
+  std::string listen_, path_;
   int discovery_listening_ = -1, errors_ = -1;
   pid_t child_ = 0;
   Link discovery_;
