--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -125,21 +125,18 @@
   const Key types = settings.in("requestClasses");
   placement.catalogue.op_types = names_of<OpTypeId>(types, "name");
   if (placement.catalogue.op_types.empty()) wrong(types.name, "at least one op type");
+  for (std::size_t i = 0; i < types.value->size(); ++i)
+    for (const char* of : {"goalTime", "deadline", "dedupWindow", "importance", "lateValue"})
+      Key{&(*types.value)[i], fmt::format("{}[{}]", types.name, i)}.in(of).number(0, 0);
   placement.catalogue.zones = names_of<ZoneId>(settings.in("zones"), nullptr);
   placement.catalogue.kinds = names_of<int>(settings.in("shapes"), nullptr);
   const Key discovery = settings.in("discovery");
   placement.list_is_asked = discovery.value && discovery.text("push or ask") == "ask";
 
-  const Key allowed = settings.in("ceilings"), rules = settings.in("rules");
+  const Key allowed = settings.in("ceilings");
   placement.open_ops = static_cast<std::size_t>(allowed.in("maxOpen").number(20000, 1));
-  placement.sends_per_op = static_cast<std::size_t>(allowed.in("maxAttempts").number(1, 1));
   placement.connect_time_out = allowed.in("connectTimeout").number(250 * kNsPerMs, 1) / kNsPerMs;
   placement.connection_idle = allowed.in("connIdle").number(15000 * kNsPerMs, 1) / kNsPerMs;
-  placement.drain_grace = rules.in("stopSendingWithin").number(1000 * kNsPerMs, 0) / kNsPerMs;
-  for (std::size_t i = 0; i < types.value->size(); ++i) {
-    const Key type{&(*types.value)[i], fmt::format("{}[{}]", types.name, i)};
-    placement.longest_op = std::max(placement.longest_op, type.in("deadline").number(0, 0) / kNsPerMs);
-  }
   return placement;
 }
 
--- a/src/front/placement.hpp
+++ b/src/front/placement.hpp
@@ -34,8 +34,8 @@
   Catalogue catalogue;
   bool list_is_asked = false;  // the module says when to ask for the list
   // Limits stated by the settings.
-  std::size_t open_ops = 0, sends_per_op = 0;
-  Millis connect_time_out = 0, connection_idle = 0, longest_op = 0, drain_grace = 0;
+  std::size_t open_ops = 0;
+  Millis connect_time_out = 0, connection_idle = 0;
 };
 
 // Looks a name up in the environment; null when it is not set.
