--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -269,11 +269,17 @@
       if (!fault) taken(std::move(socket));
     }
     acceptor_.close(fault);
-    for (auto at = connections_.begin(); at != connections_.end();) {
-      const Connected connection = *at++;
-      if (connection->state == Connection::State::starting) leave(*connection);
-      go_on(*connection);
-    }
+    for (auto at = connections_.begin(); at != connections_.end();) go_on(**at++);
+    // What has just come up may have a question on its way; what says nothing by now has none.
+    drain_ = timers_.set(clock_.now() + (kSpared - kStillComing) / 2, [this] {
+      drain_.reset();
+      for (auto at = connections_.begin(); at != connections_.end();) {
+        Connection& connection = **at++;
+        using State = Connection::State;
+        if (connection.state == State::starting || connection.state == State::waiting_for_ready)
+          leave(connection);
+      }
+    });
   });
 }
 
--- a/src/front/list.cpp
+++ b/src/front/list.cpp
@@ -151,6 +151,7 @@
 
 void List::ask() {
   again_.reset();
+  asked_ = clock_.now();
   const std::string path = whole_
                                ? "/discovery/hosts"
                                : fmt::format("/discovery/hosts?since={}&timeout_ms={:.0f}", revision_, kWait);
@@ -223,10 +224,15 @@
     whole_ = true;  // changes to another list than the one held
     return failed(fmt::format("changes up to {}, while {} is known", list.revision, revision_));
   }
+  // An answer that is nothing new is due only when its wait is over; from one that comes at once the next call
+  // keeps the distance that a watch allows.
+  const bool again = !whole_ && list.revision == revision_ && clock_.now() - asked_ < kNextCall;
   whole_ = false;
   revision_ = list.revision;
   told_(std::move(list));
-  if (watching_) ask();
+  if (!watching_) return;
+  if (!again) return ask();
+  again_ = timers_.set(clock_.now() + kNextCall, [this] { ask(); });
 }
 
 void List::failed(const std::string& why) {
--- a/src/front/list.hpp
+++ b/src/front/list.hpp
@@ -62,6 +62,7 @@
   const Told told_;
   bool watching_ = false, whole_ = true;  // whole: the next call asks for the whole list
   long long revision_ = 0;
+  Millis asked_ = 0;
   std::shared_ptr<Call> call_;  // the one owner of the connection to discovery
   std::optional<Timers::Handle> limit_, again_;
 };
--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -1,7 +1,6 @@
 #include "front/members.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace reedspindle::front {
@@ -18,11 +17,11 @@
     const std::size_t equals = item.find('=');
     if (equals == std::string_view::npos) continue;
     const std::string_view name = item.substr(0, equals), value = item.substr(equals + 1);
-    double number = 0;
-    if (std::from_chars(value.data(), value.data() + value.size(), number).ec != std::errc{}) continue;
-    if (name == "x0") seen.position = number * 1000;
-    if (name == "x1") seen.role = number > 0 ? Role::primary : Role::replica;
-    if (name == "util") seen.busy = number;
+    const auto number = pgwire::number(value);
+    if (!number) continue;
+    if (name == "x0") seen.position = *number * 1000;
+    if (name == "x1") seen.role = *number > 0 ? Role::primary : Role::replica;
+    if (name == "util") seen.busy = *number;
   }
 }
 
@@ -246,7 +245,7 @@
       const auto [name, value] = *parameter;
       if (name == "rank")
         work->seen.role = value == "source" ? Role::primary : value == "copy" ? Role::replica : Role::unknown;
-      if (name == "as_of") std::from_chars(value.data(), value.data() + value.size(), work->seen.position);
+      if (name == "as_of") work->seen.position = pgwire::number(value).value_or(work->seen.position);
       if (name == "vitals") read_report(value, work->seen);
       return true;
     }
--- a/src/front/pgwire.cpp
+++ b/src/front/pgwire.cpp
@@ -46,6 +46,9 @@
                  held.substr(0, type_size + length)};
 }
 
+// No client waits longer than a day: beyond it a patience is no time.
+constexpr double kLongestPatience = 24.0 * 3600 * 1000;
+
 template <typename T>
 bool number_of(std::string_view text, T& number) {
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -71,6 +74,11 @@
 
 }  // namespace
 
+std::optional<double> number(std::string_view text) {
+  double number = 0;
+  return number_of(text, number) ? std::optional(number) : std::nullopt;
+}
+
 Read read_message(std::string_view held) { return read(held, 1); }
 Read read_startup(std::string_view held) { return read(held, 0); }
 
@@ -133,7 +141,8 @@
     if (name == "c") statement.op_type = value;
     if (name == "r") statement.repeat = value == "1";
     if (name == "d") {
-      if (!number_of(value, statement.patience) || statement.patience < 0) return wrong();
+      if (!number_of(value, statement.patience)) return wrong();
+      if (statement.patience < 0 || statement.patience > kLongestPatience) return wrong();
       statement.patience_place = {static_cast<std::size_t>(value.data() - text.data()), value.size()};
     }
     if (name == "cluster" && !(has_group = number_of(value, statement.group))) return wrong();
--- a/src/front/pgwire.hpp
+++ b/src/front/pgwire.hpp
@@ -32,6 +32,9 @@
 enum class Startup { session, encryption, cancel, unknown };
 Startup startup_kind(const Message& message);
 
+// A finite number and nothing else.
+std::optional<double> number(std::string_view text);
+
 // Where a piece of a text stands.
 struct Place {
   std::size_t at = 0, size = 0;
