An op that nothing was sent of ends at half its patience, so that its client can ask again

Change: decide() busy-replies an unsent op at half its patience. Harm: where clients never ask again, a write that a new primary would have taken late is lost.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -104,7 +104,7 @@
   OpTypeId type;
   GroupId group;
   std::string session;
-  Millis wanted_by = 0, end = 0, token = kNever;
+  Millis wanted_by = 0, half = 0, end = 0, token = kNever;
   double chance = 0;             // drawn once
   Millis may_have_run = kNever;  // when the first send went out that may have run
   int sends = 0, out = 0, turned_away = 0;
@@ -185,7 +185,7 @@
 
   void learn(const OpArrived& arrived) {
     Op& op = ops_[arrived.op] = {arrived.type, arrived.group, arrived.session};
-    op.end = now_ + arrived.patience;
+    op.half = now_ + arrived.patience / 2, op.end = now_ + arrived.patience;
     op.wanted_by = now_ + type_of(op.type).target - waited(arrived);
     // A millisecond to the cautious side: positions are rounded down, ages may be rounded either way.
     if (arrived.token_age > 0) op.token = now_ - std::floor(arrived.token_age) + 1;
@@ -342,6 +342,7 @@
   }
 
   const bool may_probe_ = catalog_.number("allow.probes") > 0;
+  const Millis probe_wait_ = catalog_.number("allow.connect_time_out", 250);  // a new connection included
   const bool may_tell_ = instances_ > 1 && catalog_.number("allow.peers") > 0;
 
   // A primary stands at the present, so the position it claims dates the claim.
@@ -615,7 +616,8 @@
       return;
     }
     Member* to = op.to = choose(op, type);
-    if (!to) return;
+    // Guards against sitting on an op its client could ask for again: unsent at half its patience, it ends.
+    if (!to) return void(op.want = op.sends == 0 && now_ + 3 * tick_ > op.half ? Want::busy_reply : op.want);
     op.want = Want::send;
     ++to->out;
     if (warmth(*to) < 1) to->credit -= 1;
@@ -670,8 +672,7 @@
     std::vector<Decision> out;
     if (std::exchange(want_watch_, false)) out.push_back(WatchList{}), next_watch_ = kForever;
     for (Member* member : std::exchange(want_probes_, {})) {
-      // As long as a connection may take to come up: such probes have failed long before.
-      out.push_back(Probe{member->entry.member, catalog_.number("allow.connect_time_out", 250)});
+      out.push_back(Probe{member->entry.member, probe_wait_});
       member->probe_out = now_;
       member->next_probe = now_ + kProbePeriod * 0.75;
     }
