--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -62,11 +62,9 @@
 
 void Clients::accept() {
   acceptor_.async_accept([this](const asio::error_code& fault, Tcp::socket socket) {
+    if (!fault) taken(std::move(socket));  // also one that came just before a drain stopped listening
     if (!acceptor_.is_open()) return;
-    if (!fault) {
-      taken(std::move(socket));
-      return accept();
-    }
+    if (!fault) return accept();
     log_.warn("clients", "no connection can be taken: {}", fault.message());
     pause_ = timers_.set(clock_.now() + kLookAgain, [this] {
       pause_.reset();
--- a/src/front/list.cpp
+++ b/src/front/list.cpp
@@ -47,16 +47,9 @@
   const auto state = states.find(word(row, "state"));
   if (state == states.end()) throw Malformed("targets: state is none of active, leaving, left");
   store.entry.state = state->second;
-  const std::string endpoint = word(row, "endpoint");
-  const std::size_t colon = endpoint.rfind(':');
-  asio::error_code fault;
-  const auto address = asio::ip::make_address(endpoint.substr(0, colon), fault);
-  const std::string port = colon == std::string::npos ? "" : endpoint.substr(colon + 1);
-  const bool digits =
-      !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
-  if (fault || !digits || std::stoul(port) > 65535)
-    throw Malformed("targets: endpoint is no address and port");
-  store.endpoint = {address, static_cast<std::uint16_t>(std::stoul(port))};
+  const auto endpoint = endpoint_in(word(row, "endpoint"));
+  if (!endpoint) throw Malformed("targets: endpoint is no address and port");
+  store.endpoint = *endpoint;
   if (!needed(row, "pod_group").is_number_integer()) throw Malformed("targets: pod_group is no whole number");
   store.entry.group = {row["pod_group"].get<int>()};
   if (const auto zone = row.find("az"); zone != row.end() && zone->is_string())
@@ -224,8 +217,8 @@
     whole_ = true;  // changes to another list than the one held
     return failed(fmt::format("changes up to {}, while {} is known", list.revision, revision_));
   }
-  // An answer that is nothing new is due only when its wait is over; from one that comes at once the next call
-  // keeps the distance that a watch allows.
+  // An answer that is nothing new is due only when its wait is over; from one that comes at once the next
+  // call keeps the distance that a watch allows.
   const bool again = !whole_ && list.revision == revision_ && clock_.now() - asked_ < kNextCall;
   whole_ = false;
   revision_ = list.revision;
--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -253,7 +253,7 @@
       const auto fields = pgwire::read_error(message.body);
       if (!fields) return false;
       (work ? work->code : connection.code) = fields->code;
-      return connection.state != State::idle;
+      return true;  // an idle store says why it ends the connection, which comes next
     }
     case 'T':
       if (!work || work->described || pgwire::columns(message.body) != 1) return false;
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -43,14 +43,9 @@
 
 template <typename Endpoint>
 Endpoint endpoint_of(const std::string& text, const std::string& key) {
-  const std::size_t colon = text.rfind(':');
-  asio::error_code fault;
-  const auto address = asio::ip::make_address(text.substr(0, colon), fault);
-  const std::string port = colon == std::string::npos ? "" : text.substr(colon + 1);
-  const bool digits =
-      !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
-  if (fault || !digits || std::stoul(port) > 65535) wrong(key, "an address and a port such as 10.0.0.4:6432");
-  return {address, static_cast<std::uint16_t>(std::stoul(port))};
+  const auto endpoint = endpoint_in(text);
+  if (!endpoint) wrong(key, "an address and a port such as 10.0.0.4:6432");
+  return {endpoint->address(), endpoint->port()};
 }
 
 // The environment's word comes first; the file holds the same and more.
@@ -76,6 +71,19 @@
 
 }  // namespace
 
+std::optional<asio::ip::tcp::endpoint> endpoint_in(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  asio::error_code fault;
+  const auto address = asio::ip::make_address(text.substr(0, colon), fault);
+  const std::string port = text.substr(colon + 1);
+  if (fault || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos)
+    return std::nullopt;
+  const unsigned long number = std::stoul(port);
+  if (number > 65535) return std::nullopt;
+  return asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(number));
+}
+
 Placement read_placement(const Environment& environment) {
   const char* path = environment("ROUTER_CONFIG");
   if (!path || !*path) wrong("ROUTER_CONFIG", "the path of the configuration file");
--- a/src/front/placement.hpp
+++ b/src/front/placement.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
 // Looks a name up in the environment; null when it is not set.
 using Environment = std::function<const char*(const char*)>;
 
+// An address and a port such as 10.0.0.4:6432, or nothing.
+std::optional<asio::ip::tcp::endpoint> endpoint_in(const std::string& text);
+
 // Throws Malformed; its message names the faulty key and what was expected.
 Placement read_placement(const Environment& environment);
 
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -137,6 +137,15 @@
     placement_["listen"] = listen_ = listen;
     discovery_listening_ = listen_at(discovery);
     placement_["discovery"] = discovery;
+    // The front's own datagrams arrive where no other process looks; the other front of the tier is played here.
+    std::string other = place(192);
+    close(listen_at(other));
+    peer_ = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = address_of(other);
+    if (bind(peer_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) give_up("no port");
+    placement_["peer_listen"] = listen;
+    placement_["peers"] = {listen, other};
+    placement_["peers_all"] = other;
     path_ = "placement." + std::to_string(getpid()) + ".json";
   }
   ~Stage() {
@@ -170,6 +179,12 @@
     } else if (who == "discovery") {
       line >> what;
       discovery(what, remainder(line));
+    } else if (who == "crowd") {
+      line >> rest;
+      crowd(std::stoi(rest));
+    } else if (who == "peer") {
+      line >> what;
+      peer(what, remainder(line));
     } else if (who == "stop") {
       kill(child_, SIGTERM);
     } else if (who == "exits") {
@@ -440,6 +455,37 @@
     return text.replace(at, end - at, patience > 0 && patience <= 9000 ? "(left)" : "(too long)");
   }
 
+  // So many clients at once: how many are let in.
+  void crowd(int count) {
+    std::vector<Link> links;
+    for (int i = 0; i < count; ++i) {
+      links.push_back({connect_to(listen_), "", true, false, false, ""});
+      put(links.back().fd, pgwire::startup("svc", "main"));
+    }
+    int turned_away = 0;
+    for (Link& link : links) {
+      while (std::holds_alternative<pgwire::Partial>(pgwire::read_message(link.held)))
+        if (!fill(link)) give_up("a connection ended without a word");
+      turned_away += link.held.starts_with("E");
+    }
+    std::cout << "  " << count - turned_away << " welcomed, " << turned_away << " turned away\n";
+    for (Link& link : links) close(link.fd);
+  }
+
+  // The other front of the tier: "hears" prints how a message begins, "says" sends one.
+  void peer(const std::string& what, const std::string& rest) {
+    if (what == "says") {
+      const sockaddr_in to = address_of(listen_);
+      const std::string text = rest == "long" ? std::string(400, 'x') : rest;
+      sendto(peer_, text.data(), text.size(), 0, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+      return;
+    }
+    char bytes[1024];
+    ssize_t count = 0;
+    wait_for("a message", [&] { return (count = recv(peer_, bytes, sizeof bytes, MSG_DONTWAIT)) > 0; });
+    std::cout << "  " << std::string(bytes, 2) << (count <= 256 ? ", fits" : ", too long") << '\n';
+  }
+
   void discovery(const std::string& what, const std::string& rest) {
     if (what == "gets") {
       wait_for("a call", [&] {
@@ -472,7 +518,7 @@
   const std::string program_;
   Json placement_;
   std::string listen_, path_;
-  int discovery_listening_ = -1, errors_ = -1;
+  int discovery_listening_ = -1, errors_ = -1, peer_ = -1;
   pid_t child_ = 0;
   Link discovery_;
   std::map<std::string, Store> stores_;
