--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -137,7 +137,8 @@
     placement_["listen"] = listen_ = listen;
     discovery_listening_ = listen_at(discovery);
     placement_["discovery"] = discovery;
-    // The front's own datagrams arrive where no other process looks; the other front of the tier is played here.
+    // The front's own datagrams arrive where no other process looks; the other front of the tier is played
+    // here.
     std::string other = place(192);
     close(listen_at(other));
     peer_ = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
