--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -168,7 +168,8 @@
   connection->socket.async_connect(store.endpoint, [this, connection](const asio::error_code& fault) {
     if (connection->state == Connection::State::given_back) return;
     if (fault) return opened_not(*connection, Ending::connect_failed);
-    connection->socket.set_option(Tcp::no_delay(true));
+    asio::error_code ignored;  // a store that is gone again is seen by the read
+    connection->socket.set_option(Tcp::no_delay(true), ignored);
     connection->out = pgwire::startup("svc", "main");
     asio::async_write(connection->socket, asio::buffer(connection->out),
                       [](const asio::error_code&, std::size_t) {});  // the read sees what breaks
