Read once more: one way to give back a timer, end a connection with a word, take what waits

Written more than once in the front and now once: dropping a timer that may be set (Timers::drop), a fatal word and the end behind it (Clients::end_with), the first send that waits (Members::take_first), rows of an array in the placement, names looked up in a list entry, field() and the unit of time of the settings (shared by the adapter, the settings and the placement). Dead code gone: checks for connections that can't have been given back there, a second set-up of the HTTP parser, a comment of an escape the stage never had.

--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -51,12 +51,11 @@
 
 void Clients::be_ready() {
   if (std::exchange(ready_, true)) return;
-  for (auto at = connections_.begin(); at != connections_.end();) {
-    Connection& connection = **at++;
-    if (connection.state != Connection::State::waiting_for_ready) continue;
-    connection.state = Connection::State::idle;
-    write(connection, pgwire::empty_answer());
-    go_on(connection);
+  for (const Connected& connection : connections_) {
+    if (connection->state != Connection::State::waiting_for_ready) continue;
+    connection->state = Connection::State::idle;
+    write(*connection, pgwire::empty_answer());
+    go_on(*connection);
   }
 }
 
@@ -80,8 +79,7 @@
   connection->place = connections_.insert(connections_.end(), connection);
   if (!may_open_()) {
     log_.warn("clients", "a connection beyond the limit on descriptors is turned away");
-    write(*connection, pgwire::error(pgwire::Severity::fatal, "53300", "too many connections"));
-    return leave(*connection);
+    return end_with(*connection, "53300", "too many connections");
   }
   read(connection);
 }
@@ -114,12 +112,10 @@
     if (std::holds_alternative<pgwire::Partial>(next)) break;
     if (const auto* fault = std::get_if<pgwire::Fault>(&next)) {
       log_.warn("clients", "a connection is ended: {}", fault->text);
-      write(connection, pgwire::error(pgwire::Severity::fatal, fault->code, fault->text));
-      return leave(connection);
+      return end_with(connection, fault->code, fault->text);
     }
     const pgwire::Message message = std::get<pgwire::Message>(next);
     take(connection, message);
-    if (connection.state == State::given_back) return;
     connection.buffer.consume(message.bytes.size());
   }
   if (connection.state == State::idle && drained_ && connection.buffer.held().empty()) leave(connection);
@@ -134,9 +130,7 @@
       case pgwire::Startup::cancel:
         return leave(connection);
       case pgwire::Startup::unknown:
-        write(connection,
-              pgwire::error(pgwire::Severity::fatal, "0A000", "version 3 of the protocol is spoken"));
-        return leave(connection);
+        return end_with(connection, "0A000", "version 3 of the protocol is spoken");
       case pgwire::Startup::session:
         connection.state = State::idle;
         return write(connection, pgwire::welcome());
@@ -151,8 +145,7 @@
   if (message.type == 'Q') {
     const std::size_t end = message.body.find('\0');
     if (end + 1 == message.body.size()) return asked(connection, message.body.substr(0, end));
-    write(connection, pgwire::error(pgwire::Severity::fatal, "08P01", "a query does not end with its text"));
-    return leave(connection);
+    return end_with(connection, "08P01", "a query does not end with its text");
   }
   if (message.type == 'F' || std::string_view("PBDECHdcf").find(message.type) != std::string_view::npos) {
     // The extended protocol: passed over up to its Sync, as the protocol has it after an error.
@@ -161,8 +154,7 @@
                           (connection.skipping ? "" : pgwire::ready()));
     return;
   }
-  write(connection, pgwire::error(pgwire::Severity::fatal, "08P01", "an unknown type of message"));
-  leave(connection);
+  end_with(connection, "08P01", "an unknown type of message");
 }
 
 void Clients::asked(Connection& connection, std::string_view text) {
@@ -217,6 +209,11 @@
                     });
 }
 
+void Clients::end_with(Connection& connection, std::string_view code, std::string_view text) {
+  write(connection, pgwire::error(pgwire::Severity::fatal, code, text));
+  leave(connection);
+}
+
 // Ends a connection in good order: what is written goes out, then the sending side is ended, and what the
 // client still sends is read out, for a connection closed before that would take the last answer with it.
 void Clients::leave(Connection& connection) {
@@ -247,7 +244,7 @@
 void Clients::give_back(Connection& connection) {
   if (connection.state == Connection::State::given_back) return;
   connection.state = Connection::State::given_back;
-  if (connection.limit) timers_.drop(*std::exchange(connection.limit, std::nullopt));
+  timers_.drop(connection.limit);
   asio::error_code ignored;
   connection.socket.close(ignored);
   const Connected last = *connection.place;
@@ -267,23 +264,21 @@
       if (!fault) taken(std::move(socket));
     }
     acceptor_.close(fault);
-    for (auto at = connections_.begin(); at != connections_.end();) go_on(**at++);
+    for (const Connected& connection : connections_) go_on(*connection);
     // What has just come up may have a question on its way; what says nothing by now has none.
     drain_ = timers_.set(clock_.now() + (kSpared - kStillComing) / 2, [this] {
       drain_.reset();
-      for (auto at = connections_.begin(); at != connections_.end();) {
-        Connection& connection = **at++;
-        using State = Connection::State;
-        if (connection.state == State::starting || connection.state == State::waiting_for_ready)
-          leave(connection);
-      }
+      using State = Connection::State;
+      for (const Connected& connection : connections_)
+        if (connection->state == State::starting || connection->state == State::waiting_for_ready)
+          leave(*connection);
     });
   });
 }
 
 void Clients::stop() {
-  if (pause_) timers_.drop(*std::exchange(pause_, std::nullopt));
-  if (drain_) timers_.drop(*std::exchange(drain_, std::nullopt));
+  timers_.drop(pause_);
+  timers_.drop(drain_);
   asio::error_code ignored;
   acceptor_.close(ignored);
   while (!connections_.empty()) left(*connections_.front());
--- a/src/front/clients.hpp
+++ b/src/front/clients.hpp
@@ -53,6 +53,7 @@
   void take(Connection& connection, const pgwire::Message& message);
   void asked(Connection& connection, std::string_view text);
   void write(Connection& connection, std::string bytes);
+  void end_with(Connection& connection, std::string_view code, std::string_view text);
   void leave(Connection& connection);
   void left(Connection& connection);
   void give_back(Connection& connection);
--- a/src/front/clock.hpp
+++ b/src/front/clock.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "logic.hpp"
@@ -39,6 +40,11 @@
     return handle;
   }
   void drop(const Handle& handle) { due_.erase(handle); }
+  // The same for one that may be set; it is set no more.
+  void drop(std::optional<Handle>& handle) {
+    if (handle) due_.erase(*handle);
+    handle.reset();
+  }
 
  private:
   void arm() {
--- a/src/front/list.cpp
+++ b/src/front/list.cpp
@@ -38,6 +38,15 @@
   return found->get<double>();
 }
 
+// What a name stands for; names the settings don't have stand for the first.
+template <typename T>
+T named(const Json& row, const char* key, const std::map<std::string, T, std::less<>>& names) {
+  const auto name = row.find(key);
+  if (name == row.end() || !name->is_string()) return {};
+  const auto found = names.find(name->get<std::string>());
+  return found == names.end() ? T{} : found->second;
+}
+
 ListedStore read_store(const Json& row, const Catalogue& catalogue) {
   if (!row.is_object()) throw Malformed("targets: an entry is no object");
   static const std::map<std::string, MemberState> states = {
@@ -52,12 +61,8 @@
   store.endpoint = *endpoint;
   if (!needed(row, "pod_group").is_number_integer()) throw Malformed("targets: pod_group is no whole number");
   store.entry.group = {row["pod_group"].get<int>()};
-  if (const auto zone = row.find("az"); zone != row.end() && zone->is_string())
-    if (const auto found = catalogue.zones.find(zone->get<std::string>()); found != catalogue.zones.end())
-      store.entry.zone = found->second;
-  if (const auto kind = row.find("model"); kind != row.end() && kind->is_string())
-    if (const auto found = catalogue.kinds.find(kind->get<std::string>()); found != catalogue.kinds.end())
-      store.entry.kind = found->second;
+  store.entry.zone = named(row, "az", catalogue.zones);
+  store.entry.kind = named(row, "model", catalogue.kinds);
   store.entry.size = number(row, "capacity_hint", 1);
   store.entry.up_since = number(row, "boot_ms", 0);
   const auto rank = row.find("rank");
@@ -86,10 +91,7 @@
 }
 
 struct List::Call {
-  explicit Call(asio::io_context& io) : socket(io) {
-    http_parser_init(&parser, HTTP_RESPONSE);
-    parser.data = this;
-  }
+  explicit Call(asio::io_context& io) : socket(io) {}
   static const http_parser_settings& settings() {
     static const http_parser_settings settings = [] {
       http_parser_settings made;
@@ -133,8 +135,8 @@
 
 // The connection to discovery and the timers of its call are given back here and nowhere else.
 void List::give_back() {
-  if (limit_) timers_.drop(*std::exchange(limit_, std::nullopt));
-  if (again_) timers_.drop(*std::exchange(again_, std::nullopt));
+  timers_.drop(limit_);
+  timers_.drop(again_);
   if (!call_) return;
   asio::error_code ignored;
   call_->given_back = true;
@@ -201,7 +203,7 @@
 }
 
 void List::answered(Call& call) {
-  if (limit_) timers_.drop(*std::exchange(limit_, std::nullopt));
+  timers_.drop(limit_);
   if (call.parser.status_code != 200)
     return failed(fmt::format("status {}", static_cast<int>(call.parser.status_code)));
   StoreList list;
--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -109,11 +109,7 @@
       if (leaves || connection->opened < store->up_since) give_back(*connection);
     // The rule counts a send from its first byte, which these have not written.
     if (leaves)
-      while (!store->waiting.empty()) {
-        std::unique_ptr<Work> work = std::move(store->waiting.front());
-        store->waiting.pop_front();
-        end(std::move(work), Ending::never_sent);
-      }
+      while (!store->waiting.empty()) end(take_first(*store), Ending::never_sent);
   }
 }
 
@@ -144,19 +140,13 @@
   while (!store.waiting.empty() && !store.idle.empty()) {
     Connection& connection = *store.idle.back();
     store.idle.pop_back();
-    std::unique_ptr<Work> work = std::move(store.waiting.front());
-    store.waiting.pop_front();
-    begin(connection, std::move(work));
+    begin(connection, take_first(store));
   }
   while (store.opening < store.waiting.size()) open(store);
 }
 
 void Members::open(Store& store) {
-  if (!may_open_()) {
-    std::unique_ptr<Work> work = std::move(store.waiting.front());
-    store.waiting.pop_front();
-    return end(std::move(work), Ending::connect_failed);
-  }
+  if (!may_open_()) return end(take_first(store), Ending::connect_failed);
   const auto connection = std::make_shared<Connection>(io_, store);
   connection->place = connections_.insert(connections_.end(), connection);
   connection->opened = clock_.now();
@@ -181,10 +171,7 @@
 void Members::opened_not(Connection& connection, Ending ending) {
   Store& store = connection.store;
   give_back(connection);
-  if (store.waiting.size() <= store.opening) return;
-  std::unique_ptr<Work> work = std::move(store.waiting.front());
-  store.waiting.pop_front();
-  end(std::move(work), ending);
+  if (store.waiting.size() > store.opening) end(take_first(store), ending);
 }
 
 void Members::begin(Connection& connection, std::unique_ptr<Work> work) {
@@ -211,7 +198,7 @@
       [this, connection](const asio::error_code& fault, std::size_t count) {
         if (connection->state == Connection::State::given_back) return;
         connection->buffer.filled(count);
-        while (connection->state != Connection::State::given_back) {
+        for (;;) {
           const pgwire::Read next = pgwire::read_message(connection->buffer.held());
           if (std::holds_alternative<pgwire::Partial>(next)) break;
           const auto* message = std::get_if<pgwire::Message>(&next);
@@ -223,7 +210,6 @@
           }
           connection->buffer.consume(message->bytes.size());
         }
-        if (connection->state == Connection::State::given_back) return;
         if (fault) return broken(*connection);
         read(connection);
       });
@@ -276,7 +262,7 @@
     case 'Z':
       if (connection.state == State::opening) {
         --connection.store.opening;
-        timers_.drop(*std::exchange(connection.limit, std::nullopt));
+        timers_.drop(connection.limit);
         rest(connection);
         return true;
       }
@@ -330,6 +316,12 @@
   for (Work* work : unwritten) end(take_waiting(*work), Ending::never_sent);
 }
 
+std::unique_ptr<Members::Work> Members::take_first(Store& store) {
+  std::unique_ptr<Work> first = std::move(store.waiting.front());
+  store.waiting.pop_front();
+  return first;
+}
+
 std::unique_ptr<Members::Work> Members::take_waiting(Work& work) {
   auto& waiting = work.store->waiting;
   const auto at = std::ranges::find(waiting, &work, [](const auto& owned) { return owned.get(); });
@@ -360,7 +352,7 @@
   if (connection.state == Connection::State::opening) --connection.store.opening;
   if (connection.state == Connection::State::idle) std::erase(connection.store.idle, &connection);
   connection.state = Connection::State::given_back;
-  if (connection.limit) timers_.drop(*std::exchange(connection.limit, std::nullopt));
+  timers_.drop(connection.limit);
   asio::error_code ignored;
   connection.socket.close(ignored);
   std::unique_ptr<Work> work = std::move(connection.work);
@@ -390,7 +382,7 @@
 }
 
 void Members::stop() {
-  if (sweep_) timers_.drop(*std::exchange(sweep_, std::nullopt));
+  timers_.drop(sweep_);
   while (!connections_.empty()) give_back(*connections_.front());
 }
 
--- a/src/front/members.hpp
+++ b/src/front/members.hpp
@@ -59,6 +59,7 @@
   bool take(Connection& connection, const pgwire::Message& message);
   void broken(Connection& connection);
   void out_of_time(Work& work);
+  std::unique_ptr<Work> take_first(Store& store);
   std::unique_ptr<Work> take_waiting(Work& work);
   void end(std::unique_ptr<Work> work);
   void end(std::unique_ptr<Work> work, Ending ending);
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <cmath>
 #include <fstream>
 
 #include "values.hpp"
@@ -11,7 +10,6 @@
 namespace {
 
 using Json = nlohmann::json;
-constexpr double kNsPerMs = 1e6;
 
 [[noreturn]] void wrong(const std::string& key, const std::string& expected) {
   throw Malformed(fmt::format("{}: {} was expected", key, expected));
@@ -25,10 +23,16 @@
   Key in(const std::string& inner) const {
     const std::string full = name.empty() ? inner : name + "." + inner;
     if (!value) return {nullptr, full};
-    if (!value->is_object()) wrong(name.empty() ? "ROUTER_CONFIG" : name, "an object");
+    if (!value->is_object()) wrong(name, "an object");
     const auto found = value->find(inner);
     return {found == value->end() || found->is_null() ? nullptr : &*found, full};
   }
+  std::vector<Key> rows(const char* expected) const {
+    if (!value || !value->is_array()) wrong(name, expected);
+    std::vector<Key> rows;
+    for (const Json& row : *value) rows.push_back({&row, fmt::format("{}[{}]", name, rows.size())});
+    return rows;
+  }
   std::string text(const char* expected) const {
     if (!value || !value->is_string() || value->get<std::string>().empty()) wrong(name, expected);
     return value->get<std::string>();
@@ -61,11 +65,9 @@
 std::map<std::string, T, std::less<>> names_of(const Key& list, const char* inner) {
   std::map<std::string, T, std::less<>> names;
   if (!list.value) return names;
-  if (!list.value->is_array()) wrong(list.name, "an array");
-  for (std::size_t i = 0; i < list.value->size(); ++i) {
-    const Key row{&(*list.value)[i], fmt::format("{}[{}]", list.name, i)};
-    names[(inner ? row.in(inner) : row).text("a name")] = T{static_cast<int>(i)};
-  }
+  int number = 0;
+  for (const Key& row : list.rows("an array"))
+    names[(inner ? row.in(inner) : row).text("a name")] = T{number++};
   return names;
 }
 
@@ -114,12 +116,8 @@
     placement.hears_peers = true;
     placement.peer_listen = endpoint_of<Endpoint>(top.in("peer_listen").text(address), "peer_listen");
     placement.peers_all = endpoint_of<Endpoint>(top.in("peers_all").text(address), "peers_all");
-    const Key peers = top.in("peers");
-    if (!peers.value || !peers.value->is_array()) wrong(peers.name, "an array of addresses");
-    for (std::size_t i = 0; i < peers.value->size(); ++i) {
-      const Key peer{&(*peers.value)[i], fmt::format("peers[{}]", i)};
+    for (const Key& peer : top.in("peers").rows("an array of addresses"))
       placement.peers.push_back(endpoint_of<Endpoint>(peer.text(address), peer.name));
-    }
   }
   if (const Key known = top.in("known"); known.value) placement.known = *known.value;
 
@@ -133,9 +131,9 @@
   const Key types = settings.in("requestClasses");
   placement.catalogue.op_types = names_of<OpTypeId>(types, "name");
   if (placement.catalogue.op_types.empty()) wrong(types.name, "at least one op type");
-  for (std::size_t i = 0; i < types.value->size(); ++i)
+  for (const Key& type : types.rows("an array"))
     for (const char* of : {"goalTime", "deadline", "dedupWindow", "importance", "lateValue"})
-      Key{&(*types.value)[i], fmt::format("{}[{}]", types.name, i)}.in(of).number(0, 0);
+      type.in(of).number(0, 0);
   placement.catalogue.zones = names_of<ZoneId>(settings.in("zones"), nullptr);
   placement.catalogue.kinds = names_of<int>(settings.in("shapes"), nullptr);
   const Key discovery = settings.in("discovery");
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -9,12 +9,6 @@
 namespace {
 
 using Json = nlohmann::json;
-constexpr double kNsPerMs = 1e6;
-
-const Json& field(const Json& line, std::size_t at) {
-  static const Json null;
-  return at < line.size() ? line[at] : null;
-}
 
 double needed(const Json& line, std::size_t at) {
   if (field(line, at).is_null()) throw Malformed("value " + std::to_string(at) + " is missing");
--- a/src/values.cpp
+++ b/src/values.cpp
@@ -7,12 +7,6 @@
 namespace {
 
 using Json = nlohmann::json;
-constexpr double kNsPerMs = 1e6;
-
-const Json& at(const Json& list, std::size_t place) {
-  static const Json null;
-  return place < list.size() ? list[place] : null;
-}
 
 std::string word_for(const std::string& wire) {
   static const std::map<std::string, std::string> words = {
@@ -40,6 +34,11 @@
 
 }  // namespace
 
+const Json& field(const Json& list, std::size_t place) {
+  static const Json null;
+  return place < list.size() ? list[place] : null;
+}
+
 double number_or(const Json& value, double other) {
   if (value.is_null()) return other;
   if (value.is_boolean()) return value.get<bool>() ? 1 : 0;
@@ -123,8 +122,8 @@
     for (const Setting& setting : of_op_type)
       if (types[i].contains(setting.wire))
         put(values, prefix + setting.name, types[i][setting.wire], setting.per_unit);
-    put(values, prefix + "needs", at(needs, i), 1);
-    put(values, prefix + "bound", at(bounds, i), kNsPerMs);
+    put(values, prefix + "needs", field(needs, i), 1);
+    put(values, prefix + "bound", field(bounds, i), kNsPerMs);
   }
   return values;
 }
--- a/src/values.hpp
+++ b/src/values.hpp
@@ -15,6 +15,10 @@
   using std::runtime_error::runtime_error;
 };
 
+constexpr double kNsPerMs = 1e6;  // times are whole ns there, ms with fractions here
+
+// A value of an array by its place; null beyond the end.
+const nlohmann::json& field(const nlohmann::json& list, std::size_t place);
 // Missing values become the other; a value of another kind is malformed.
 double number_or(const nlohmann::json& value, double other);
 std::string word_or(const nlohmann::json& value, const std::string& other);
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -115,7 +115,7 @@
          message('C', "SELECT 1\0"s);
 }
 
-std::string unescaped(const std::string& text) {  // "\x00" and the like, "*N" at the end: N times over
+std::string unescaped(const std::string& text) {  // "\x00" and the like
   std::string out;
   for (std::size_t at = 0; at < text.size(); ++at) {
     if (text.compare(at, 2, "\\x") == 0) {
@@ -249,9 +249,9 @@
   void start() {
     start_child();
     wait_for("the front to listen", [this] {
-      Link probe{connect_to(listen_), "", false, false, false, ""};
-      if (probe.fd >= 0) close(probe.fd);
-      return probe.fd >= 0;
+      const int fd = connect_to(listen_);
+      if (fd >= 0) close(fd);
+      return fd >= 0;
     });
   }
   int connect_to(const std::string& text) {
