SIGHUP reads the placement again; discovery is asked at its new address

Checked: the file of the configuration names the new discovery, while the environment still names the old one, so the file's word has to come first here and nowhere else.

Now placement reads the file again with the checks of the start, list leaves the old address and asks the new one for the whole list at once; what is known stays. A faulty file changes nothing and the log names the key, as it does with keys that can't change. The tests' placement is a file in memory, so that none is left at the root.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -10,12 +10,13 @@
 constexpr std::size_t kOtherDescriptors = 24;
 }  // namespace
 
-Front::Front(Placement placement)
-    : placement_(std::move(placement)),
+Front::Front(Environment environment)
+    : environment_(std::move(environment)),
+      placement_(read_placement(environment_)),
       log_(clock_),
       io_(1),
       timers_(io_, clock_),
-      signals_(io_, SIGTERM, SIGINT),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
       router_(make_router(placement_.values, placement_.seed)),
       members_(
           io_, timers_, clock_, log_, placement_, [this] { return descriptor_left(); },
@@ -30,7 +31,7 @@
 
 void Front::run() {
   clients_.listen();
-  stop_signal();
+  hear_signals();
   if (!placement_.known.is_null()) {
     try {
       StoreList known = read_list(placement_.known, placement_.catalogue);
@@ -121,15 +122,33 @@
   return left() || (members_.close_an_idle_one() && left());
 }
 
-void Front::stop_signal() {
+void Front::hear_signals() {
   signals_.async_wait([this](const asio::error_code& fault, int signal) {
     if (fault) return;
-    log_.info("front", "signal {}: no new work after what still comes", signal);
-    clients_.drain();
-    stop_signal();
+    if (signal == SIGHUP) {
+      read_again();
+    } else {
+      log_.info("front", "signal {}: no new work after what still comes", signal);
+      clients_.drain();
+    }
+    hear_signals();
   });
 }
 
+// SIGHUP: the placement may have changed. A faulty one changes nothing; of a sound one, discovery's address.
+void Front::read_again() {
+  try {
+    const Placement read = read_placement(environment_, Reading::again);
+    log_.info("front", "the placement is read again, discovery is at {}:{}",
+              read.discovery.address().to_string(), read.discovery.port());
+    for (const std::string& key : kept_until_restart(placement_, read))
+      log_.warn("placement", "{} has changed, which takes effect at the next start", key);
+    list_.move(read.discovery);
+  } catch (const std::exception& fault) {
+    log_.warn("placement", "read again it does not count, the old one stays: {}", fault.what());
+  }
+}
+
 void Front::carry_out(const Send& decision) {
   const auto found = ops_.find(decision.op);
   if (found == ops_.end()) return;  // noted as gone
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -23,7 +23,8 @@
 
 class Front : private Clients::Ops {
  public:
-  explicit Front(Placement placement);
+  // Throws Malformed where the placement is faulty.
+  explicit Front(Environment environment);
 
   // Runs until it has been told to stop and nothing is open.
   void run();
@@ -48,7 +49,8 @@
   void settle();
   void end_op(OpId op, std::string answer);
   bool descriptor_left();
-  void stop_signal();
+  void hear_signals();
+  void read_again();
 
   void carry_out(const Send& decision);
   void carry_out(const CallOff& decision);
@@ -60,6 +62,7 @@
   void carry_out(const TellPeers& decision);
   void carry_out(const LogLine& decision);
 
+  const Environment environment_;
   const Placement placement_;
   const Clock clock_;
   Log log_;
--- a/src/front/list.cpp
+++ b/src/front/list.cpp
@@ -121,13 +121,27 @@
 
 List::List(asio::io_context& io, Timers& timers, const Clock& clock, Log& log, const Placement& placement,
            Told told)
-    : io_(io), timers_(timers), clock_(clock), log_(log), placement_(placement), told_(std::move(told)) {}
+    : io_(io),
+      timers_(timers),
+      clock_(clock),
+      log_(log),
+      placement_(placement),
+      told_(std::move(told)),
+      discovery_(placement.discovery) {}
 
 void List::watch() {
   if (std::exchange(watching_, true)) return;
   ask();
 }
 
+void List::move(const Tcp::endpoint& discovery) {
+  if (discovery == discovery_) return;
+  discovery_ = discovery;
+  whole_ = true;
+  give_back();
+  if (watching_) ask();
+}
+
 void List::stop() {
   watching_ = false;
   give_back();
@@ -150,9 +164,8 @@
   const std::string path = whole_
                                ? "/discovery/hosts"
                                : fmt::format("/discovery/hosts?since={}&timeout_ms={:.0f}", revision_, kWait);
-  const std::string text =
-      fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\nAccept: application/json\r\n\r\n", path,
-                  placement_.discovery.address().to_string(), placement_.discovery.port());
+  const std::string text = fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\nAccept: application/json\r\n\r\n",
+                                       path, discovery_.address().to_string(), discovery_.port());
   limit_ = timers_.set(clock_.now() + (whole_ ? 0 : kWait) + kLost, [this] {
     limit_.reset();
     failed("no answer in time");
@@ -163,7 +176,7 @@
   }
   call_ = std::make_shared<Call>(io_);
   call_->request = text;
-  call_->socket.async_connect(placement_.discovery, [this, call = call_](const asio::error_code& fault) {
+  call_->socket.async_connect(discovery_, [this, call = call_](const asio::error_code& fault) {
     if (call->given_back) return;
     if (fault) return failed(fault.message());
     connected(call);
--- a/src/front/list.hpp
+++ b/src/front/list.hpp
@@ -42,6 +42,9 @@
 
   // Asks for what is new, now; the watch then goes on by itself.
   void watch();
+  // Discovery is at another address from now on: the whole list is asked for there at once, and what is known
+  // stays until it comes.
+  void move(const asio::ip::tcp::endpoint& discovery);
   void stop();
 
  private:
@@ -60,6 +63,7 @@
   Log& log_;
   const Placement& placement_;
   const Told told_;
+  asio::ip::tcp::endpoint discovery_;
   bool watching_ = false, whole_ = true;  // whole: the next call asks for the whole list
   long long revision_ = 0;
   Millis asked_ = 0;
--- a/src/front/main.cpp
+++ b/src/front/main.cpp
@@ -11,8 +11,7 @@
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    reedspindle::front::Front front(
-        reedspindle::front::read_placement([](const char* name) { return std::getenv(name); }));
+    reedspindle::front::Front front([](const char* name) { return std::getenv(name); });
     front.run();
     return 0;
   } catch (const reedspindle::Malformed& fault) {
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -86,7 +86,7 @@
   return asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(number));
 }
 
-Placement read_placement(const Environment& environment) {
+Placement read_placement(const Environment& environment, Reading reading) {
   const char* path = environment("ROUTER_CONFIG");
   if (!path || !*path) wrong("ROUTER_CONFIG", "the path of the configuration file");
   std::ifstream file(path);
@@ -100,8 +100,12 @@
   placement.name = told(environment, "ROUTER_NAME", top.in("name"), "a name");
   placement.listen = endpoint_of<asio::ip::tcp::endpoint>(
       told(environment, "ROUTER_LISTEN", top.in("listen"), address), "listen");
-  placement.discovery = endpoint_of<asio::ip::tcp::endpoint>(
-      told(environment, "ROUTER_DISCOVERY", top.in("discovery"), address), "discovery");
+  const Key discovery_at = top.in("discovery");
+  placement.discovery =
+      endpoint_of<asio::ip::tcp::endpoint>(reading == Reading::again && discovery_at.value
+                                               ? discovery_at.text(address)
+                                               : told(environment, "ROUTER_DISCOVERY", discovery_at, address),
+                                           "discovery");
 
   const Key seed = top.in("seed");
   if (seed.value) {
@@ -146,4 +150,16 @@
   return placement;
 }
 
+std::vector<std::string> kept_until_restart(const Placement& running, const Placement& read) {
+  std::vector<std::string> keys;
+  if (running.name != read.name) keys.push_back("name");
+  if (running.listen != read.listen) keys.push_back("listen");
+  if (running.sockets != read.sockets) keys.push_back("limits");
+  if (running.hears_peers != read.hears_peers || running.peer_listen != read.peer_listen ||
+      running.peers_all != read.peers_all || running.peers != read.peers)
+    keys.push_back("peers");
+  if (running.values != read.values || running.catalogue != read.catalogue) keys.push_back("settings");
+  return keys;
+}
+
 }  // namespace reedspindle::front
--- a/src/front/placement.hpp
+++ b/src/front/placement.hpp
@@ -1,5 +1,5 @@
-// What a front is told at start, by its environment and its configuration file: read, checked and given
-// defaults here and nowhere else.
+// What a front is told, by its environment and its configuration file, at start and at each SIGHUP: read,
+// checked and given defaults here and nowhere else.
 #pragma once
 
 #include <asio.hpp>
@@ -20,6 +20,7 @@
   std::map<std::string, OpTypeId, std::less<>> op_types;
   std::map<std::string, ZoneId, std::less<>> zones;
   std::map<std::string, int, std::less<>> kinds;
+  bool operator==(const Catalogue&) const = default;
 };
 
 struct Placement {
@@ -45,7 +46,13 @@
 // An address and a port such as 10.0.0.4:6432, or nothing.
 std::optional<asio::ip::tcp::endpoint> endpoint_in(const std::string& text);
 
+// Read again while running, the file's word on discovery comes before the environment's, which is as old as
+// the process.
+enum class Reading { at_start, again };
+
 // Throws Malformed; its message names the faulty key and what was expected.
-Placement read_placement(const Environment& environment);
+Placement read_placement(const Environment& environment, Reading reading = Reading::at_start);
+// The keys in which the second differs and which take effect at the next start only.
+std::vector<std::string> kept_until_restart(const Placement& running, const Placement& read);
 
 }  // namespace reedspindle::front
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -4,6 +4,7 @@
 // fixed time: each line waits for what it names, and gives up after half a minute.
 #include <arpa/inet.h>
 #include <poll.h>
+#include <sys/mman.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -147,11 +148,12 @@
     placement_["peer_listen"] = listen;
     placement_["peers"] = {listen, other};
     placement_["peers_all"] = other;
-    path_ = "placement." + std::to_string(getpid()) + ".json";
+    // A file in memory: nothing is left behind however this ends.
+    file_ = memfd_create("placement", MFD_CLOEXEC);
+    path_ = "/proc/" + std::to_string(getpid()) + "/fd/" + std::to_string(file_);
   }
   ~Stage() {
     if (child_ > 0) kill(child_, SIGKILL);
-    unlink(path_.c_str());
   }
 
   void play(const std::string& text) {
@@ -188,6 +190,13 @@
       peer(what, remainder(line));
     } else if (who == "stop") {
       kill(child_, SIGTERM);
+    } else if (who == "reload") {
+      write_placement(remainder(line));
+      kill(child_, SIGHUP);
+    } else if (who == "logs") {
+      const std::string wanted = remainder(line);
+      wait_for("the log to say so", [&] { return hear_log().find(wanted) != std::string::npos; });
+      said_.erase(0, said_.find(wanted) + wanted.size());
     } else if (who == "exits") {
       wait_exit();
     } else {
@@ -229,8 +238,12 @@
     return Json{{"rev", rev}, {"all", all}, {"targets", targets}}.dump();
   }
 
+  void write_placement(const std::string& other = "") {
+    const std::string text = other.empty() ? placement_.dump() : other;
+    if (ftruncate(file_, 0) != 0 || pwrite(file_, text.data(), text.size(), 0) < 0) give_up("no file");
+  }
   void start_child() {
-    std::ofstream(path_) << placement_.dump();
+    write_placement();
     int errors[2];
     if (pipe(errors) != 0) give_up("no pipe");
     child_ = fork();
@@ -240,6 +253,8 @@
       dup2(errors[1], STDERR_FILENO);
       close(errors[0]), close(errors[1]);
       setenv("ROUTER_CONFIG", path_.c_str(), 1);
+      if (placement_.contains("discovery"))  // as old as the process
+        setenv("ROUTER_DISCOVERY", placement_["discovery"].get<std::string>().c_str(), 1);
       execl(program_.c_str(), program_.c_str(), nullptr);
       _exit(127);
     }
@@ -262,21 +277,26 @@
     return -1;
   }
   void wait_exit() {
-    std::string said;
-    char bytes[4096];
     int status = 0;
+    said_.clear();
     wait_for("the front to exit", [&] {
-      pollfd out{errors_, POLLIN, 0};
-      while (poll(&out, 1, 0) == 1) {
-        const ssize_t count = read(errors_, bytes, sizeof bytes);
-        if (count <= 0) break;
-        said.append(bytes, static_cast<std::size_t>(count));
-      }
+      hear_log();
       return waitpid(child_, &status, WNOHANG) == child_;
     });
+    hear_log();
     child_ = 0;
     std::cout << "  exit code " << (WIFEXITED(status) ? WEXITSTATUS(status) : -1) << '\n';
-    if (said.starts_with("reedspindle: ")) std::cout << "  " << said;
+    if (said_.starts_with("reedspindle: ")) std::cout << "  " << said_;
+  }
+  const std::string& hear_log() {
+    char bytes[4096];
+    pollfd out{errors_, POLLIN, 0};
+    while (poll(&out, 1, 0) == 1) {
+      const ssize_t count = read(errors_, bytes, sizeof bytes);
+      if (count <= 0) break;
+      said_.append(bytes, static_cast<std::size_t>(count));
+    }
+    return said_;
   }
 
   // Serves the stores' connections until what is waited for is there.
@@ -511,6 +531,17 @@
           "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     } else if (what == "says") {
       put(discovery_.fd, unescaped(rest));
+    } else if (what == "moves") {  // the old address takes no new connections, what is open there stays
+      moved_ = std::exchange(discovery_, {});
+      close(discovery_listening_);
+      std::string address = place(96);
+      discovery_listening_ = listen_at(address);
+      placement_["discovery"] = address;
+    } else if (what == "left") {
+      wait_for("the front to leave the old address", [&] {
+        pollfd at{moved_.fd, POLLIN, 0};
+        return poll(&at, 1, 0) == 1 && !fill(moved_);
+      });
     } else {
       close(std::exchange(discovery_.fd, -1));
     }
@@ -518,10 +549,10 @@
 
   const std::string program_;
   Json placement_;
-  std::string listen_, path_;
-  int discovery_listening_ = -1, errors_ = -1, peer_ = -1;
+  std::string listen_, path_, said_;
+  int discovery_listening_ = -1, errors_ = -1, peer_ = -1, file_ = -1;
   pid_t child_ = 0;
-  Link discovery_;
+  Link discovery_, moved_;
   std::map<std::string, Store> stores_;
   std::map<std::string, Json> rows_;
   std::map<std::string, Link> clients_;
