Clients keep to a share of descriptors, limits in time and the two forms of statements

Ruled out: processor time (0.13 s in a second at most), memory (2 MB).

Now: half of the descriptors each for clients and stores; silent, then long idle connections give way; the first whole command is owed within 2.5 s; what can't become a message is told by its first byte or its length; statements are read strictly and whole; ids of open ops, groups and op types are checked; one answer is written at a time; a turn of the loop takes 64 callbacks at most; buffers and texts share an allowance and are given back.

--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -15,30 +15,42 @@
 // No descriptor is left to take a connection with: how soon to look again, and how long a connection that is
 // being ended is read out at most. Both a round trip many times over.
 constexpr Millis kLookAgain = 20, kReadOut = 1000;
+// How long after it has come a client owes its first whole command: a little less than the time in which one
+// that sends what can't be read is owed a word. Later ones may write slowly, and so may they read.
+constexpr Millis kFirst = 2500, kOwed = 15000;
+// From when on an idle connection may be closed for another (the protocol's figure).
+constexpr Millis kKept = 2000;
+// Statements in a row that do not read, after which a connection is ended: a client that errs will not get
+// better at full speed.
+constexpr int kFaultsInARow = 8;
 }  // namespace
 
 struct Clients::Connection {
-  explicit Connection(Tcp::socket taken) : socket(std::move(taken)) {}
+  Connection(Tcp::socket taken, Allowance& allowance) : socket(std::move(taken)), buffer(allowance) {}
   Tcp::socket socket;
   Buffer buffer;
   std::string out, next_out;
   enum class State { starting, idle, asking, waiting_for_ready, leaving, given_back } state = State::starting;
   bool writing = false, reading = false, skipping = false, ended = false;
+  bool commanded = false;  // a whole command has come
+  int faults = 0;          // in a row
+  std::size_t read_out = 0;
+  Millis since = 0;  // when it came, was last heard or last answered
   OpId op;
-  std::optional<Timers::Handle> limit;
+  std::optional<Timers::Handle> limit;  // of what the client owes, or of reading it out
   std::list<Connected>::iterator place;
 };
 
 Clients::Clients(asio::io_context& io, Timers& timers, const Clock& clock, Log& log,
-                 const Placement& placement, std::function<bool()> may_open, Ops& ops)
+                 const Placement& placement, Ops& ops)
     : io_(io),
       timers_(timers),
       clock_(clock),
       log_(log),
       placement_(placement),
-      may_open_(std::move(may_open)),
       ops_(ops),
-      acceptor_(io) {}
+      acceptor_(io),
+      allowance_(placement.memory / 8) {}
 
 void Clients::listen() {
   acceptor_.open(placement_.listen.protocol());
@@ -55,7 +67,6 @@
     if (connection->state != Connection::State::waiting_for_ready) continue;
     connection->state = Connection::State::idle;
     write(*connection, pgwire::empty_answer());
-    go_on(*connection);
   }
 }
 
@@ -75,50 +86,122 @@
 void Clients::taken(Tcp::socket socket) {
   asio::error_code ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
-  const auto connection = std::make_shared<Connection>(std::move(socket));
+  socket.non_blocking(true, ignored);
+  const auto connection = std::make_shared<Connection>(std::move(socket), allowance_);
+  connection->since = clock_.now();
+  const bool room = connections_.size() < placement_.client_connections() || make_room();
   connection->place = connections_.insert(connections_.end(), connection);
-  if (!may_open_()) {
-    log_.warn("clients", "a connection beyond the limit on descriptors is turned away");
-    return end_with(*connection, "53300", "too many connections");
+  if (!room) {
+    log_.warn("clients", "a connection beyond the clients' share of descriptors is turned away");
+    return cut(*connection);
   }
+  judge(*connection);
   read(connection);
 }
 
+// Near the limit the connections go first that no usual client misses: one that is being read out, one that
+// has never sent anything, one that has been idle or in mid-message longest. Guards usual clients against
+// those that connect and keep silent.
+bool Clients::make_room() {
+  using State = Connection::State;
+  Connection *silent = nullptr, *idle = nullptr;
+  for (const Connected& connection : connections_) {
+    if (connection->state == State::leaving && connection->ended) {
+      give_back(*connection);
+      return true;
+    }
+    // What is on its way into the front already is no idle connection's.
+    asio::error_code fault;
+    if (connection->writing || connection->socket.available(fault) > 0) continue;
+    if (connection->state != State::starting && connection->state != State::idle) continue;
+    if (!connection->commanded && connection->buffer.held().empty()) {
+      if (!silent) silent = connection.get();
+    } else if (!idle || connection->since < idle->since) {
+      idle = connection.get();
+    }
+  }
+  if (idle && (silent || clock_.now() - idle->since < kKept)) idle = nullptr;
+  if (!silent && !idle) return false;
+  cut(silent ? *silent : *idle);
+  return true;
+}
+
+// Ends a connection at once, with a word for as far as the kernel takes it.
+void Clients::cut(Connection& connection) {
+  asio::error_code ignored;
+  const std::string word = pgwire::error(pgwire::Severity::fatal, "53300", "too many connections");
+  if (!connection.writing && !connection.commanded) connection.socket.write_some(asio::buffer(word), ignored);
+  give_back(connection);
+}
+
 void Clients::read(const Connected& connection) {
-  if (connection->reading || connection->state == Connection::State::given_back) return;
-  if (connection->state != Connection::State::leaving && connection->buffer.held().size() >= kAhead) return;
-  connection->reading = true;
+  using State = Connection::State;
+  if (connection->reading || connection->state == State::given_back) return;
+  const bool leaving = connection->state == State::leaving;
+  if (leaving ? connection->read_out > kAhead : connection->buffer.held().size() >= kAhead) return;
   const auto room = connection->buffer.room(2048);
+  if (room.empty()) {
+    log_.warn("clients", "a connection is ended: clients make the front hold too much");
+    return cut_off(*connection);
+  }
+  connection->reading = true;
   connection->socket.async_read_some(asio::buffer(room.data(), room.size()),
                                      [this, connection](const asio::error_code& fault, std::size_t count) {
                                        connection->reading = false;
-                                       if (connection->state == Connection::State::given_back) return;
+                                       if (connection->state == State::given_back) return;
                                        if (fault) return left(*connection);
-                                       if (connection->state == Connection::State::leaving)
-                                         return read(connection);  // read out, unheard
+                                       if (connection->state == State::leaving) {  // read out, unheard
+                                         connection->read_out += count;
+                                         return read(connection);
+                                       }
                                        connection->buffer.filled(count);
+                                       connection->since = clock_.now();
                                        go_on(*connection);
                                        read(connection);
                                      });
 }
 
-// Takes what is held, one message after the other, for as long as no answer is owed.
+// What the client owes, with its limit: guards against those that say nothing, stop in mid-message, send
+// without an end or do not read.
+void Clients::judge(Connection& connection) {
+  using State = Connection::State;
+  if (connection.state == State::leaving || connection.state == State::given_back) return;
+  const bool listening = connection.state == State::starting || connection.state == State::idle;
+  const bool owes = connection.writing || (listening && !connection.commanded) ||
+                    (listening && !connection.buffer.held().empty());
+  if (!owes) timers_.drop(connection.limit);
+  if (!owes || connection.limit) return;
+  connection.limit =
+      timers_.set(clock_.now() + (connection.commanded ? kOwed : kFirst), [this, held = *connection.place] {
+        held->limit.reset();
+        if (held->writing) return cut_off(*held);
+        log_.warn("clients", "a connection is ended: no whole command in time");
+        end_with(*held, "57P05", "no whole command in time");
+      });
+}
+
+// Takes what is held, one message after the other, for as long as no answer is owed or being written.
 void Clients::go_on(Connection& connection) {
   using State = Connection::State;
-  while (connection.state == State::starting || connection.state == State::idle) {
+  while ((connection.state == State::starting || connection.state == State::idle) && !connection.writing) {
     const std::string_view held = connection.buffer.held();
     const bool starting = connection.state == State::starting;
-    const pgwire::Read next = starting ? pgwire::read_startup(held) : pgwire::read_message(held);
+    const pgwire::Read next = starting ? pgwire::read_startup(held) : pgwire::read_from_client(held);
     if (std::holds_alternative<pgwire::Partial>(next)) break;
     if (const auto* fault = std::get_if<pgwire::Fault>(&next)) {
       log_.warn("clients", "a connection is ended: {}", fault->text);
       return end_with(connection, fault->code, fault->text);
     }
     const pgwire::Message message = std::get<pgwire::Message>(next);
+    connection.commanded = connection.commanded || !starting;
+    const std::size_t size = message.bytes.size();
     take(connection, message);
-    connection.buffer.consume(message.bytes.size());
+    if (connection.state == State::leaving || connection.state == State::given_back) return;
+    connection.buffer.consume(size);
   }
-  if (connection.state == State::idle && drained_ && connection.buffer.held().empty()) leave(connection);
+  if (connection.state == State::idle && drained_ && connection.buffer.held().empty())
+    return leave(connection);
+  judge(connection);
 }
 
 void Clients::take(Connection& connection, const pgwire::Message& message) {
@@ -174,9 +257,13 @@
     fault = ops_.op_arrived(op, text, *statement);
   else
     fault = std::get<pgwire::Fault>(read);
-  if (fault)
+  if (fault) {
+    log_.warn("clients", "a statement is turned away: {}", fault->text);
+    if (++connection.faults >= kFaultsInARow) return end_with(connection, fault->code, fault->text);
     return write(connection,
                  pgwire::error(pgwire::Severity::error, fault->code, fault->text) + pgwire::ready());
+  }
+  connection.faults = 0;
   connection.state = State::asking;
   connection.op = op;
   asking_[op] = &connection;
@@ -188,12 +275,12 @@
   Connection& connection = *found->second;
   asking_.erase(found);
   connection.state = Connection::State::idle;
+  connection.since = clock_.now();
   write(connection, std::move(bytes) + pgwire::ready());
-  const Connected held = *connection.place;
-  go_on(connection);
-  read(held);
 }
 
+// Messages are taken while nothing is being written: what a client makes the front write is one answer at a
+// time, and one that sends many commands at once waits its turn behind the others after each.
 void Clients::write(Connection& connection, std::string bytes) {
   connection.next_out += bytes;
   if (connection.writing) return;
@@ -202,11 +289,15 @@
   asio::async_write(connection.socket, asio::buffer(connection.out),
                     [this, held = *connection.place](const asio::error_code& fault, std::size_t) {
                       held->writing = false;
+                      held->out = {};
                       if (held->state == Connection::State::given_back) return;
                       if (fault) return left(*held);
                       if (!held->next_out.empty()) return write(*held, "");
-                      if (held->state == Connection::State::leaving) leave(*held);
+                      if (held->state == Connection::State::leaving) return leave(*held);
+                      go_on(*held);
+                      read(held);
                     });
+  judge(connection);
 }
 
 void Clients::end_with(Connection& connection, std::string_view code, std::string_view text) {
@@ -215,22 +306,33 @@
 }
 
 // Ends a connection in good order: what is written goes out, then the sending side is ended, and what the
-// client still sends is read out, for a connection closed before that would take the last answer with it.
+// client still sends is read out, for a connection closed before that would take the last answer with it. One
+// message's worth of it: who sends on at full speed is left unread until the time is over.
 void Clients::leave(Connection& connection) {
-  connection.state = Connection::State::leaving;
   const Connected held = *connection.place;
-  if (connection.writing) return;
-  if (!std::exchange(connection.ended, true)) {
-    asio::error_code ignored;
-    connection.socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (connection.state != Connection::State::leaving) {
+    connection.state = Connection::State::leaving;
+    connection.buffer.consume(connection.buffer.held().size());
+    timers_.drop(connection.limit);
     connection.limit = timers_.set(clock_.now() + kReadOut, [this, held] {
       held->limit.reset();
       give_back(*held);
     });
   }
+  if (connection.writing) return;
+  if (!std::exchange(connection.ended, true)) {
+    asio::error_code ignored;
+    connection.socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  }
   read(held);
 }
 
+// The client does not take what is written to it, or makes the front hold too much.
+void Clients::cut_off(Connection& connection) {
+  if (connection.state == Connection::State::asking) return;  // its op is answered first
+  cut(connection);
+}
+
 // The client has ended the connection.
 void Clients::left(Connection& connection) {
   if (connection.state == Connection::State::asking) {
@@ -264,12 +366,12 @@
       if (!fault) taken(std::move(socket));
     }
     acceptor_.close(fault);
-    for (const Connected& connection : connections_) go_on(*connection);
+    for (const Connected& connection : std::list(connections_)) go_on(*connection);
     // What has just come up may have a question on its way; what says nothing by now has none.
     drain_ = timers_.set(clock_.now() + (kSpared - kStillComing) / 2, [this] {
       drain_.reset();
       using State = Connection::State;
-      for (const Connected& connection : connections_)
+      for (const Connected& connection : std::list(connections_))
         if (connection->state == State::starting || connection->state == State::waiting_for_ready)
           leave(*connection);
     });
--- a/src/front/clients.hpp
+++ b/src/front/clients.hpp
@@ -27,7 +27,7 @@
   };
 
   Clients(asio::io_context& io, Timers& timers, const Clock& clock, Log& log, const Placement& placement,
-          std::function<bool()> may_open, Ops& ops);
+          Ops& ops);
 
   // From now on connections are taken.
   void listen();
@@ -38,7 +38,6 @@
   // between ops.
   void drain();
 
-  std::size_t descriptors() const { return connections_.size(); }
   bool finished() const { return drained_ && connections_.empty(); }
   void stop();
 
@@ -48,6 +47,10 @@
 
   void accept();
   void taken(asio::ip::tcp::socket socket);
+  bool make_room();
+  void judge(Connection& connection);
+  void cut(Connection& connection);
+  void cut_off(Connection& connection);
   void read(const Connected& connection);
   void go_on(Connection& connection);
   void take(Connection& connection, const pgwire::Message& message);
@@ -63,9 +66,9 @@
   const Clock& clock_;
   Log& log_;
   const Placement& placement_;
-  const std::function<bool()> may_open_;
   Ops& ops_;
   asio::ip::tcp::acceptor acceptor_;
+  Allowance allowance_;               // what is held of what clients send
   std::list<Connected> connections_;  // the one owner of each
   std::map<OpId, Connection*> asking_;
   std::uint64_t last_op_ = 0;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -5,9 +5,9 @@
 
 namespace reedspindle::front {
 namespace {
-// Held besides connections: standard streams, the event queue, its timer and wake-up, signals, the listening
-// socket, discovery, the peers' socket, and a few in passing.
-constexpr std::size_t kOtherDescriptors = 24;
+// Callbacks that one turn of the loop takes at most before the module is asked: what comes at full speed may
+// not keep the other connections' ops, the timers or the answers waiting.
+constexpr int kOfOneTurn = 64;
 }  // namespace
 
 Front::Front(Environment environment)
@@ -18,12 +18,12 @@
       timers_(io_, clock_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       router_(make_router(placement_.values, placement_.seed)),
+      texts_(placement_.memory / 8),
       members_(
-          io_, timers_, clock_, log_, placement_, [this] { return descriptor_left(); },
+          io_, timers_, clock_, log_, placement_,
           [this](SendEnded ended, std::string row) { send_ended(std::move(ended), std::move(row)); },
           [this](ProbeEnded ended) { noted_.push_back({std::move(ended)}); }),
-      clients_(
-          io_, timers_, clock_, log_, placement_, [this] { return descriptor_left(); }, *this),
+      clients_(io_, timers_, clock_, log_, placement_, *this),
       list_(io_, timers_, clock_, log_, placement_, [this](StoreList list) { list_read(std::move(list)); }),
       peers_(io_, log_, placement_, [this](int peer, std::string text) {
         noted_.push_back({PeerSpoke{peer, std::move(text)}});
@@ -46,7 +46,7 @@
             placement_.listen.port());
   while (!clients_.finished()) {
     if (noted_.empty()) io_.run_one();
-    io_.poll();
+    for (int taken = 0; taken < kOfOneTurn && io_.poll_one() > 0; ++taken) continue;
     if (!noted_.empty()) settle();
     log_.flush();
   }
@@ -75,16 +75,25 @@
   const auto type = placement_.catalogue.op_types.find(statement.op_type);
   if (type == placement_.catalogue.op_types.end())
     return pgwire::Fault{"22023", "c names no op type: " + std::string(statement.op_type)};
-  if (ops_.size() >= placement_.open_ops) return pgwire::Fault{"53300", "too many ops are open"};
+  if (type->second.writes != statement.writes)
+    return pgwire::Fault{"22023", "c does not go with that kind of statement"};
+  if (type->second.tokened == statement.token.empty())
+    return pgwire::Fault{"22023", type->second.tokened ? "k is missing" : "k does not go with c"};
+  if (groups_.empty()) return pgwire::Fault{"57P03", "no store is known yet"};
+  if (!groups_.contains(GroupId{statement.group})) return pgwire::Fault{"22023", "cluster names no group"};
+  if (ids_.contains(statement.id)) return pgwire::Fault{"22023", "id is that of an open op"};
+  if (ops_.size() >= placement_.open_ops || !texts_.take(text.size()))
+    return pgwire::Fault{"53300", "too many ops are open"};
   OpArrived arrived;
   arrived.op = id;
-  arrived.type = type->second;
+  arrived.type = type->second.id;
   arrived.group = {statement.group};
   arrived.session = statement.key;
   arrived.patience = statement.patience;
   arrived.repeat = statement.repeat;
   noted_.push_back({std::move(arrived), clock_.now(), statement.position});
-  ops_[id] = {std::string(text), statement.patience_place};
+  ops_[id] = {std::make_shared<const std::string>(text), std::string(statement.id), statement.patience_place};
+  ids_.emplace(statement.id);
   return std::nullopt;
 }
 
@@ -95,7 +104,11 @@
 
 // Ops are given back here and nowhere else. What is not written of one yet never will be.
 void Front::end_op(OpId id, std::string answer) {
-  if (ops_.erase(id) == 0) return;
+  const auto found = ops_.find(id);
+  if (found == ops_.end()) return;
+  ids_.erase(found->second.id);
+  texts_.give(found->second.text->size());
+  ops_.erase(found);
   if (!answer.empty()) clients_.answer(id, std::move(answer));
   members_.forget(id);
 }
@@ -103,7 +116,10 @@
 void Front::list_read(StoreList list) {
   members_.learn(list);
   ListRead read{list.kind, {}};
-  for (ListedStore& store : list.stores) read.members.push_back(std::move(store.entry));
+  for (ListedStore& store : list.stores) {
+    groups_.insert(store.entry.group);
+    read.members.push_back(std::move(store.entry));
+  }
   const bool in_hand = list.kind != ListKind::failed && !read.members.empty();
   noted_.push_back({std::move(read)});
   if (in_hand) clients_.be_ready();
@@ -115,13 +131,6 @@
   noted_.push_back({std::move(ended)});
 }
 
-bool Front::descriptor_left() {
-  const auto left = [this] {
-    return members_.descriptors() + clients_.descriptors() + kOtherDescriptors < placement_.sockets;
-  };
-  return left() || (members_.close_an_idle_one() && left());
-}
-
 void Front::hear_signals() {
   signals_.async_wait([this](const asio::error_code& fault, int signal) {
     if (fault) return;
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,8 @@
 
  private:
   struct Op {
-    std::string text;
+    std::shared_ptr<const std::string> text;
+    std::string id;  // as the client names it
     pgwire::Place patience;
     int sends = 0;
   };
@@ -48,7 +50,6 @@
   void send_ended(SendEnded ended, std::string row);
   void settle();
   void end_op(OpId op, std::string answer);
-  bool descriptor_left();
   void hear_signals();
   void read_again();
 
@@ -72,6 +73,9 @@
   std::unique_ptr<Router> router_;
   std::vector<Noted> noted_;
   std::map<OpId, Op> ops_;
+  std::set<std::string, std::less<>> ids_;  // of the open ops
+  std::set<GroupId> groups_;                // that discovery has named
+  Allowance texts_;                         // of the open ops
   Members members_;
   Clients clients_;
   List list_;
--- a/src/front/list.cpp
+++ b/src/front/list.cpp
@@ -16,7 +16,7 @@
 // The protocol's figures: a watch goes on if the next call comes within 200 ms, half of which leaves time for
 // the call itself; a call may wait as long as the protocol's example; 2 s after that it counts as lost.
 constexpr Millis kNextCall = 100, kWait = 20000, kLost = 2000;
-constexpr std::size_t kLongestBody = 16 << 20;  // some hundred times a list of a thousand stores
+constexpr std::size_t kLongestBody = 1 << 20;  // some times a list of a thousand stores
 
 const Json& needed(const Json& row, const char* key) {
   const auto found = row.find(key);
@@ -91,7 +91,7 @@
 }
 
 struct List::Call {
-  explicit Call(asio::io_context& io) : socket(io) {}
+  explicit Call(asio::io_context& io) : socket(io), buffer(allowance) {}
   static const http_parser_settings& settings() {
     static const http_parser_settings settings = [] {
       http_parser_settings made;
@@ -114,6 +114,7 @@
 
   Tcp::socket socket;
   http_parser parser;
+  Allowance allowance{kLongestBody};
   Buffer buffer;
   std::string request, body;
   bool whole = false, given_back = false;
@@ -197,6 +198,7 @@
 
 void List::read(const std::shared_ptr<Call>& call) {
   const auto room = call->buffer.room(16384);
+  if (room.empty()) return failed("the answer is too long");
   call->socket.async_read_some(
       asio::buffer(room.data(), room.size()), [this, call](const asio::error_code& fault, std::size_t count) {
         if (call->given_back) return;
--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -36,7 +36,7 @@
 struct Members::Work {
   std::optional<std::pair<OpId, SendNumber>> send;  // none: a probe
   Store* store = nullptr;
-  std::string text;  // of the statement, empty for a probe
+  std::shared_ptr<const std::string> text;  // of the statement, none for a probe
   pgwire::Place patience;
   Millis from = 0, until = 0;
   Timers::Handle limit;
@@ -60,7 +60,8 @@
 };
 
 struct Members::Connection {
-  Connection(asio::io_context& io, Store& of) : socket(io), store(of) {}
+  Connection(asio::io_context& io, Store& of, Allowance& allowance)
+      : socket(io), store(of), buffer(allowance) {}
   Tcp::socket socket;
   Store& store;
   Buffer buffer;
@@ -75,16 +76,15 @@
 };
 
 Members::Members(asio::io_context& io, Timers& timers, const Clock& clock, Log& log,
-                 const Placement& placement, std::function<bool()> may_open, SendDone send_done,
-                 ProbeDone probe_done)
+                 const Placement& placement, SendDone send_done, ProbeDone probe_done)
     : io_(io),
       timers_(timers),
       clock_(clock),
       log_(log),
       placement_(placement),
-      may_open_(std::move(may_open)),
       send_done_(std::move(send_done)),
-      probe_done_(std::move(probe_done)) {
+      probe_done_(std::move(probe_done)),
+      allowance_(placement.memory / 8) {
   sweep();
 }
 
@@ -114,10 +114,10 @@
 }
 
 void Members::send(OpId op, SendNumber number, const MemberId& member, Millis time_out,
-                   const std::string& text, pgwire::Place patience) {
+                   std::shared_ptr<const std::string> text, pgwire::Place patience) {
   auto work = std::make_unique<Work>();
   work->send = {op, number};
-  work->text = text;
+  work->text = std::move(text);
   work->patience = patience;
   sends_[{op, number}] = work.get();
   add(*stores_.at(member), std::move(work), time_out);
@@ -146,8 +146,9 @@
 }
 
 void Members::open(Store& store) {
-  if (!may_open_()) return end(take_first(store), Ending::connect_failed);
-  const auto connection = std::make_shared<Connection>(io_, store);
+  if (connections_.size() >= placement_.store_connections() && !close_an_idle_one())
+    return end(take_first(store), Ending::connect_failed);
+  const auto connection = std::make_shared<Connection>(io_, store, allowance_);
   connection->place = connections_.insert(connections_.end(), connection);
   connection->opened = clock_.now();
   ++store.opening;
@@ -178,9 +179,9 @@
   connection.state = Connection::State::busy;
   connection.written = false;
   work->on = &connection;
-  connection.out =
-      pgwire::query(work->send ? pgwire::with_patience(work->text, work->patience, work->until - clock_.now())
-                               : "SHOW vitals");
+  connection.out = pgwire::query(
+      work->send ? pgwire::with_patience(*work->text, work->patience, work->until - clock_.now())
+                 : "SHOW vitals");
   const Work* of = work.get();
   connection.work = std::move(work);
   asio::async_write(connection.socket, asio::buffer(connection.out),
@@ -193,13 +194,17 @@
 
 void Members::read(const Connected& connection) {
   const auto room = connection->buffer.room(4096);
+  if (room.empty()) {
+    log_.warn("stores", "{}: stores make the front hold too much", connection->store.id.address);
+    return broken(*connection);
+  }
   connection->socket.async_read_some(
       asio::buffer(room.data(), room.size()),
       [this, connection](const asio::error_code& fault, std::size_t count) {
         if (connection->state == Connection::State::given_back) return;
         connection->buffer.filled(count);
         for (;;) {
-          const pgwire::Read next = pgwire::read_message(connection->buffer.held());
+          const pgwire::Read next = pgwire::read_from_store(connection->buffer.held());
           if (std::holds_alternative<pgwire::Partial>(next)) break;
           const auto* message = std::get_if<pgwire::Message>(&next);
           const bool fits = message && take(*connection, *message);
--- a/src/front/members.hpp
+++ b/src/front/members.hpp
@@ -27,21 +27,18 @@
   using ProbeDone = std::function<void(ProbeEnded)>;
 
   Members(asio::io_context& io, Timers& timers, const Clock& clock, Log& log, const Placement& placement,
-          std::function<bool()> may_open, SendDone send_done, ProbeDone probe_done);
+          SendDone send_done, ProbeDone probe_done);
 
   ~Members();
 
   void learn(const StoreList& list);
-  void send(OpId op, SendNumber number, const MemberId& member, Millis time_out, const std::string& text,
-            pgwire::Place patience);
+  void send(OpId op, SendNumber number, const MemberId& member, Millis time_out,
+            std::shared_ptr<const std::string> text, pgwire::Place patience);
   void call_off(OpId op, SendNumber number);
   // The op has ended: what is not written of it yet never will be.
   void forget(OpId op);
   void probe(const MemberId& member, Millis time_out);
 
-  std::size_t descriptors() const { return connections_.size(); }
-  // Gives back the connection that has been idle longest, of any store. False: none is idle.
-  bool close_an_idle_one();
   void stop();
 
  private:
@@ -66,15 +63,17 @@
   void rest(Connection& connection);
   std::unique_ptr<Work> give_back(Connection& connection);
   void sweep();
+  // Gives back the connection that has been idle longest, of any store. False: none is idle.
+  bool close_an_idle_one();
 
   asio::io_context& io_;
   Timers& timers_;
   const Clock& clock_;
   Log& log_;
   const Placement& placement_;
-  const std::function<bool()> may_open_;  // whether a descriptor is left
   const SendDone send_done_;
   const ProbeDone probe_done_;
+  Allowance allowance_;  // what is held of what stores send
   std::map<MemberId, std::unique_ptr<Store>> stores_;
   std::list<Connected> connections_;  // the one owner of each
   std::map<std::pair<OpId, SendNumber>, Work*> sends_;
--- a/src/front/pgwire.cpp
+++ b/src/front/pgwire.cpp
@@ -35,12 +35,38 @@
   return text;
 }
 
-Read read(std::string_view held, std::size_t type_size) {
+// The longest that a message of a type may be by its own count; 0: that side sends none.
+using Longest = std::size_t (*)(char type);
+std::size_t longest_from_client(char type) {
+  if (type == 'X' || type == 'S' || type == 'H' || type == 'c') return 4;
+  return std::string_view("QPBDECdfFp").find(type) != std::string_view::npos ? kLongestMessage : 0;
+}
+std::size_t longest_from_store(char type) {
+  constexpr std::size_t kShort = 64, kNamed = 512, kText = 8192;
+  switch (type) {
+    case 'D':
+      return kLongestValue + 10;
+    case 'S':
+    case 'E':
+    case 'N':
+      return kText;
+    case 'T':
+      return kNamed;
+    default:
+      return std::string_view("RKCZ").find(type) != std::string_view::npos ? kShort : 0;
+  }
+}
+std::size_t longest_startup(char) { return 10000; }  // as PostgreSQL has it
+
+Read read(std::string_view held, std::size_t type_size, Longest longest) {
   const std::size_t head = type_size + 4;
+  if (held.empty()) return Partial{};
+  const std::size_t most = longest(held[0]);
+  if (most == 0) return Fault{"08P01", "an unknown type of message"};
   if (held.size() < head) return Partial{};
   const std::size_t length = number_at(held, type_size, 4);
   if (length < 4) return Fault{"08P01", "a message is shorter than its head"};
-  if (length > kLongestMessage) return Fault{"54000", "a message is too long"};
+  if (length > most) return Fault{"54000", "a message is too long"};
   if (held.size() < type_size + length) return Partial{};
   return Message{type_size ? held[0] : '\0', held.substr(head, length - 4),
                  held.substr(0, type_size + length)};
@@ -57,19 +83,25 @@
   return fault == std::errc{} && end == text.data() + text.size() && !text.empty();
 }
 
-std::string_view trimmed(std::string_view text) {
-  const std::size_t from = text.find_first_not_of(" \t\r\n");
-  return from == std::string_view::npos ? "" : text.substr(from, text.find_last_not_of(" \t\r\n") - from + 1);
+bool all_of(std::string_view text, bool (*fits)(char)) { return std::ranges::all_of(text, fits); }
+bool digit(char letter) { return letter >= '0' && letter <= '9'; }
+bool hex(char letter) { return digit(letter) || (letter >= 'a' && letter <= 'f'); }
+bool part_of_name(char letter) {
+  return digit(letter) || (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+         letter == '-' || letter == '_' || letter == '.' || letter == ':';
 }
+bool part_of_number(char letter) { return digit(letter) || letter == '.'; }
 
-// Where quoted text and comments end, so that what stands in them is not taken for the statement's own.
-std::size_t past_quoted(std::string_view text, std::size_t at) {
-  for (++at; at < text.size(); ++at) {
-    if (text[at] != '\'') continue;
-    if (at + 1 >= text.size() || text[at + 1] != '\'') return at + 1;
-    ++at;
-  }
-  return std::string_view::npos;
+// Takes what stands at the front of a text.
+bool take(std::string_view& text, std::string_view exactly) {
+  if (!text.starts_with(exactly)) return false;
+  text.remove_prefix(exactly.size());
+  return true;
+}
+std::string_view take_up_to(std::string_view& text, char end) {
+  const std::string_view taken = text.substr(0, text.find(end));
+  text.remove_prefix(taken.size());
+  return taken;
 }
 
 }  // namespace
@@ -79,8 +111,9 @@
   return number_of(text, number) ? std::optional(number) : std::nullopt;
 }
 
-Read read_message(std::string_view held) { return read(held, 1); }
-Read read_startup(std::string_view held) { return read(held, 0); }
+Read read_from_client(std::string_view held) { return read(held, 1, longest_from_client); }
+Read read_from_store(std::string_view held) { return read(held, 1, longest_from_store); }
+Read read_startup(std::string_view held) { return read(held, 0, longest_startup); }
 
 Startup startup_kind(const Message& message) {
   if (message.body.size() < 4) return Startup::unknown;
@@ -103,55 +136,58 @@
 }
 
 std::variant<Statement, Fault> read_statement(std::string_view text) {
-  const auto fault = [](const char* code, std::string what) { return Fault{code, std::move(what)}; };
+  constexpr std::size_t kLongestName = 128;
+  const auto no_form = [](const char* what) { return Fault{"42601", what}; };
+  const auto name = [](std::string_view value) {
+    return !value.empty() && value.size() <= kLongestName && all_of(value, part_of_name);
+  };
   Statement statement;
-  std::string_view comment;
-  bool ended = false;
-  for (std::size_t at = 0; at < text.size();) {
-    if (text[at] == '\'') {
-      const std::size_t end = past_quoted(text, at);
-      if (end == std::string_view::npos) return fault("42601", "a quoted text does not end");
-      if (statement.key.empty()) statement.key = text.substr(at + 1, end - at - 2);
-      at = end;
-    } else if (text.substr(at).starts_with("/*")) {
-      const std::size_t end = text.find("*/", at + 2);
-      if (end == std::string_view::npos) return fault("42601", "a comment does not end");
-      comment = text.substr(at + 2, end - at - 2);
-      at = end + 2;
-    } else {
-      const bool blank = std::string_view(" \t\r\n").find(text[at]) != std::string_view::npos;
-      if (ended && !blank && text[at] != ';') return fault("42601", "one statement to a query");
-      ended = ended || text[at] == ';';
-      ++at;
-    }
+  std::string_view rest = text;
+  statement.writes = take(rest, "INSERT INTO records (k, v) VALUES ('");
+  if (!statement.writes && !take(rest, "SELECT v FROM records WHERE k = '"))
+    return Fault{"0A000", "none of the two statements there are"};
+  statement.key = take_up_to(rest, '\'');
+  if (!name(statement.key)) return no_form("the key does not read");
+  if (statement.writes) {
+    if (!take(rest, "', '\\x")) return no_form("the value does not read");
+    const std::string_view value = take_up_to(rest, '\'');
+    if (value.size() > 2 * kLongestValue) return Fault{"54000", "the value is too long"};
+    if (value.size() % 2 != 0 || !all_of(value, hex)) return no_form("the value does not read");
   }
-  if (const std::string word = first_word(text); word != "SELECT" && word != "INSERT")
-    return fault("0A000", "SELECT and INSERT only");
-  if (comment.data() == nullptr) return fault("42601", "the statement has no comment that tells of the op");
-  bool has_group = false;
-  while (!comment.empty()) {
-    const std::size_t comma = comment.find(',');
-    const std::string_view item = trimmed(comment.substr(0, comma));
-    comment = comma == std::string_view::npos ? "" : comment.substr(comma + 1);
-    const std::size_t equals = item.find('=');
-    if (equals == std::string_view::npos) continue;
-    const std::string_view name = item.substr(0, equals), value = item.substr(equals + 1);
-    const auto wrong = [&] { return fault("22023", std::string(name) + " is no number that fits"); };
-    if (name == "id") statement.id = value;
-    if (name == "c") statement.op_type = value;
-    if (name == "r") statement.repeat = value == "1";
-    if (name == "d") {
-      if (!number_of(value, statement.patience)) return wrong();
-      if (statement.patience < 0 || statement.patience > kLongestPatience) return wrong();
-      statement.patience_place = {static_cast<std::size_t>(value.data() - text.data()), value.size()};
-    }
-    if (name == "cluster" && !(has_group = number_of(value, statement.group))) return wrong();
-    if (name == "after" && !number_of(value, statement.position)) return wrong();
+  if (!take(rest, statement.writes ? "') RETURNING v /* " : "' /* ") || !rest.ends_with(" */"))
+    return no_form("no comment that tells of the op ends the statement");
+  rest.remove_suffix(3);
+
+  std::string_view repeat, patience, group, position;
+  const std::pair<std::string_view, std::string_view*> names[] = {
+      {"id", &statement.id}, {"c", &statement.op_type}, {"d", &patience}, {"k", &statement.token},
+      {"cluster", &group},   {"after", &position},      {"r", &repeat}};
+  for (bool more = true; more;) {
+    const std::string_view item = take_up_to(rest, ',');
+    more = take(rest, ",");
+    const std::size_t equals = std::min(item.find('='), item.size());
+    const auto known =
+        std::ranges::find(names, item.substr(0, equals), [](const auto& at) { return at.first; });
+    if (known == std::end(names)) return Fault{"22023", "an unknown name in the comment"};
+    const std::string_view value = item.substr(std::min(equals + 1, item.size()));
+    if (!known->second->empty() || !name(value))
+      return Fault{"22023", std::string(known->first) + " is there twice or does not read"};
+    *known->second = value;
   }
-  if (statement.id.empty()) return fault("22023", "id is missing");
-  if (statement.op_type.empty()) return fault("22023", "c is missing");
-  if (statement.patience_place.size == 0) return fault("22023", "d is missing");
-  if (!has_group) return fault("22023", "cluster is missing");
+  for (const auto& [of, value] : {names[0], names[1], names[2], names[4]})
+    if (value->empty()) return Fault{"22023", std::string(of) + " is missing"};
+  const auto wrong = [](const char* of) {
+    return Fault{"22023", std::string(of) + " is no number that fits"};
+  };
+  if (!all_of(patience, part_of_number) || !number_of(patience, statement.patience) ||
+      statement.patience <= 0 || statement.patience > kLongestPatience)
+    return wrong("d");
+  if (!all_of(group, digit) || !number_of(group, statement.group)) return wrong("cluster");
+  if (!position.empty() && (!all_of(position, part_of_number) || !number_of(position, statement.position)))
+    return wrong("after");
+  if (!repeat.empty() && repeat != "1") return wrong("r");
+  statement.repeat = !repeat.empty();
+  statement.patience_place = {static_cast<std::size_t>(patience.data() - text.data()), patience.size()};
   return statement;
 }
 
--- a/src/front/pgwire.hpp
+++ b/src/front/pgwire.hpp
@@ -12,7 +12,7 @@
 namespace reedspindle::front::pgwire {
 
 // Values are at most 64 KiB, twice that as hexadecimal digits; the rest of a statement is short.
-constexpr std::size_t kLongestMessage = 192 * 1024;
+constexpr std::size_t kLongestValue = 64 * 1024, kLongestMessage = 2 * kLongestValue + 1024;
 
 struct Message {
   char type = 0;                 // 0: a startup message, which has no type byte
@@ -25,8 +25,10 @@
 };
 using Read = std::variant<Partial, Message, Fault>;
 
-// The first message in the bytes held.
-Read read_message(std::string_view held);
+// The first message in the bytes held. What can't become a message of that side is a fault as soon as its
+// type or its length is there: no more of it is waited for.
+Read read_from_client(std::string_view held);
+Read read_from_store(std::string_view held);
 Read read_startup(std::string_view held);
 
 enum class Startup { session, encryption, cancel, unknown };
@@ -39,12 +41,15 @@
 struct Place {
   std::size_t at = 0, size = 0;
 };
-// A statement as a client sends it; the views point into its text.
+// A statement in one of the two forms that stores take, checked to its last byte; the views point into its
+// text. Guards stores against what they can't read, on which they close.
 struct Statement {
+  bool writes = false;
   std::string_view id, op_type, key;
   double patience = 0;  // ms, as the client gives it
   int group = 0;
-  double position = 0;  // that the read has to see; 0: none
+  double position = 0;     // that the read has to see; 0: none
+  std::string_view token;  // empty: none
   bool repeat = false;
   Place patience_place;
 };
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -115,6 +115,7 @@
     placement.seed = std::stoull(text, nullptr, 16);
   }
   placement.sockets = static_cast<std::size_t>(top.in("limits").in("sockets").number(1024, 64));
+  placement.memory = static_cast<std::size_t>(top.in("limits").in("memory_mb").number(64, 16)) << 20;
   if (top.in("peer_listen").value) {
     using Endpoint = asio::ip::udp::endpoint;
     placement.hears_peers = true;
@@ -133,7 +134,12 @@
     throw Malformed(fmt::format("settings: {}", fault.what()));
   }
   const Key types = settings.in("requestClasses");
-  placement.catalogue.op_types = names_of<OpTypeId>(types, "name");
+  const auto is = [&](OpTypeId type, const char* key, const char* word) {
+    const auto found = placement.values.find(fmt::format("op_type.{}.{}", type.number, key));
+    return found != placement.values.end() && found->second == decltype(found->second)(word);
+  };
+  for (const auto& [name, type] : names_of<OpTypeId>(types, "name"))
+    placement.catalogue.op_types[name] = {type, is(type, "needs", "write"), is(type, "effect", "tokened")};
   if (placement.catalogue.op_types.empty()) wrong(types.name, "at least one op type");
   for (const Key& type : types.rows("an array"))
     for (const char* of : {"goalTime", "deadline", "dedupWindow", "importance", "lateValue"})
@@ -154,7 +160,7 @@
   std::vector<std::string> keys;
   if (running.name != read.name) keys.push_back("name");
   if (running.listen != read.listen) keys.push_back("listen");
-  if (running.sockets != read.sockets) keys.push_back("limits");
+  if (running.sockets != read.sockets || running.memory != read.memory) keys.push_back("limits");
   if (running.hears_peers != read.hears_peers || running.peer_listen != read.peer_listen ||
       running.peers_all != read.peers_all || running.peers != read.peers)
     keys.push_back("peers");
--- a/src/front/placement.hpp
+++ b/src/front/placement.hpp
@@ -15,9 +15,16 @@
 
 namespace reedspindle::front {
 
+// An op type as statements name it, and what its statements look like.
+struct NamedType {
+  OpTypeId id;
+  bool writes = false, tokened = false;
+  bool operator==(const NamedType&) const = default;
+};
+
 // Names that the settings give to what the module knows by number.
 struct Catalogue {
-  std::map<std::string, OpTypeId, std::less<>> op_types;
+  std::map<std::string, NamedType, std::less<>> op_types;
   std::map<std::string, ZoneId, std::less<>> zones;
   std::map<std::string, int, std::less<>> kinds;
   bool operator==(const Catalogue&) const = default;
@@ -28,6 +35,7 @@
   asio::ip::tcp::endpoint listen, discovery;
   std::uint64_t seed = 0;
   std::size_t sockets = 0;  // descriptors that the process may hold
+  std::size_t memory = 0;   // bytes that the process may hold
   bool hears_peers = false;
   asio::ip::udp::endpoint peer_listen, peers_all;
   std::vector<asio::ip::udp::endpoint> peers;  // by their numbers
@@ -38,6 +46,12 @@
   // Limits stated by the settings.
   std::size_t open_ops = 0;
   Millis connect_time_out = 0, connection_idle = 0;
+
+  // Each peer's share of the descriptors. Clients hold at most a third for ops; what is over is for those
+  // that ask once and stay. Held besides connections: standard streams, the event queue, its timer and
+  // wake-up, signals, the listening socket, discovery, the peers' socket, and a few in passing.
+  std::size_t client_connections() const { return sockets / 2; }
+  std::size_t store_connections() const { return sockets - client_connections() - 24; }
 };
 
 // Looks a name up in the environment; null when it is not set.
