Spoilt answers are errors, told at their first wrong byte; an empty query settles a connection

Written out what crosses the sockets: noise, lengths beyond any value, rows that do not fit, second copies and noise right behind ReadyForQuery.

Now each message of an answer is checked to its last byte and its longest length by its head; a spoilt one ends as errored with nothing seen, a spoilt answer to a probe shows that the store is there and nothing else; behind each answer an empty query is asked, which costs a store nothing, and an idle connection is peeked at before a send. Positions beyond now and reports that do not read whole are ignored. Ruled out: a time of rest instead of the query (nothing says how long).

--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -9,20 +9,27 @@
 
 namespace {
 
+// A position that is there yet; all machines read one clock, so it is at most rounded beyond now.
+bool can_be(Millis position, Millis now) { return position >= 0 && position < now + 10; }
+
 // "x0=1767225600.123,x1=1,util=0.61": the position in seconds, 1 from a primary, share of processors in use.
-void read_report(std::string_view text, Sighting& seen) {
+// What does not read as a whole, or says what can't be, is no report.
+void read_report(std::string_view text, Millis now, Sighting& seen) {
+  Sighting read = seen;
   while (!text.empty()) {
     const std::string_view item = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), item.size() + 1));
-    const std::size_t equals = item.find('=');
-    if (equals == std::string_view::npos) continue;
-    const std::string_view name = item.substr(0, equals), value = item.substr(equals + 1);
-    const auto number = pgwire::number(value);
-    if (!number) continue;
-    if (name == "x0") seen.position = *number * 1000;
-    if (name == "x1") seen.role = *number > 0 ? Role::primary : Role::replica;
-    if (name == "util") seen.busy = *number;
+    const std::size_t equals = std::min(item.find('='), item.size());
+    const std::string_view name = item.substr(0, equals);
+    const auto number = pgwire::number(item.substr(std::min(equals + 1, item.size())));
+    if (!number) return;
+    if (name == "x0") read.position = *number * 1000;
+    if (name == "x1") read.role = *number > 0 ? Role::primary : Role::replica;
+    if (name == "x0" && !can_be(read.position, now)) return;
+    if (name == "x1" && *number != 0 && *number != 1) return;
+    if (name == "util") read.busy = *number;
   }
+  seen = read;
 }
 
 Ending ending_of_code(const std::string& code) {
@@ -45,8 +52,7 @@
   Sighting seen;
   std::string row;
   std::optional<std::string> code;  // of an error
-  std::size_t rows = 0;
-  bool described = false, complete = false;
+  bool described = false, has_row = false, complete = false, spoilt = false;
 };
 
 struct Members::Store {
@@ -56,7 +62,7 @@
   Millis up_since = 0;
   std::deque<std::unique_ptr<Work>> waiting;
   std::vector<Connection*> idle;  // the one used last at the end
-  std::size_t opening = 0;
+  std::size_t coming = 0;         // connections that open or settle
 };
 
 struct Members::Connection {
@@ -66,11 +72,11 @@
   Store& store;
   Buffer buffer;
   std::string out;
-  enum class State { opening, idle, busy, given_back } state = State::opening;
+  enum class State { opening, idle, busy, settling, given_back } state = State::opening;
   Millis opened = 0, idle_since = 0;
   bool written = false;  // the query's last byte
   std::unique_ptr<Work> work;
-  std::optional<Timers::Handle> limit;  // while it opens
+  std::optional<Timers::Handle> limit;  // while it opens or settles
   std::optional<std::string> code;      // of an error while it opens
   std::list<Connected>::iterator place;
 };
@@ -139,10 +145,23 @@
 void Members::dispatch(Store& store) {
   while (!store.waiting.empty() && !store.idle.empty()) {
     Connection& connection = *store.idle.back();
+    if (!in_order(connection)) {
+      give_back(connection);
+      continue;
+    }
     store.idle.pop_back();
     begin(connection, take_first(store));
   }
-  while (store.opening < store.waiting.size()) open(store);
+  while (store.coming < store.waiting.size()) open(store);
+}
+
+// Nothing has come on an idle connection, also nothing that has not been read yet, and it has not been ended.
+// Guards against taking what belongs to an earlier answer for the next op's, and against sending into an end.
+bool Members::in_order(Connection& connection) {
+  char byte;
+  asio::error_code state;
+  connection.socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, state);
+  return state == asio::error::would_block;
 }
 
 void Members::open(Store& store) {
@@ -151,7 +170,7 @@
   const auto connection = std::make_shared<Connection>(io_, store, allowance_);
   connection->place = connections_.insert(connections_.end(), connection);
   connection->opened = clock_.now();
-  ++store.opening;
+  ++store.coming;
   connection->limit = timers_.set(clock_.now() + placement_.connect_time_out, [this, connection] {
     connection->limit.reset();
     opened_not(*connection, Ending::connect_failed);
@@ -161,6 +180,7 @@
     if (fault) return opened_not(*connection, Ending::connect_failed);
     asio::error_code ignored;  // a store that is gone again is seen by the read
     connection->socket.set_option(Tcp::no_delay(true), ignored);
+    connection->socket.non_blocking(true, ignored);
     connection->out = pgwire::startup("svc", "main");
     asio::async_write(connection->socket, asio::buffer(connection->out),
                       [](const asio::error_code&, std::size_t) {});  // the read sees what breaks
@@ -172,7 +192,7 @@
 void Members::opened_not(Connection& connection, Ending ending) {
   Store& store = connection.store;
   give_back(connection);
-  if (store.waiting.size() > store.opening) end(take_first(store), ending);
+  if (store.waiting.size() > store.coming) end(take_first(store), ending);
 }
 
 void Members::begin(Connection& connection, std::unique_ptr<Work> work) {
@@ -198,26 +218,23 @@
     log_.warn("stores", "{}: stores make the front hold too much", connection->store.id.address);
     return broken(*connection);
   }
-  connection->socket.async_read_some(
-      asio::buffer(room.data(), room.size()),
-      [this, connection](const asio::error_code& fault, std::size_t count) {
-        if (connection->state == Connection::State::given_back) return;
-        connection->buffer.filled(count);
-        for (;;) {
-          const pgwire::Read next = pgwire::read_from_store(connection->buffer.held());
-          if (std::holds_alternative<pgwire::Partial>(next)) break;
-          const auto* message = std::get_if<pgwire::Message>(&next);
-          const bool fits = message && take(*connection, *message);
-          if (connection->state == Connection::State::given_back) return;
-          if (!fits) {
-            log_.warn("stores", "{} does not speak the protocol", connection->store.id.address);
-            return broken(*connection);
-          }
-          connection->buffer.consume(message->bytes.size());
-        }
-        if (fault) return broken(*connection);
-        read(connection);
-      });
+  connection->socket.async_read_some(asio::buffer(room.data(), room.size()),
+                                     [this, connection](const asio::error_code& fault, std::size_t count) {
+                                       if (connection->state == Connection::State::given_back) return;
+                                       connection->buffer.filled(count);
+                                       for (;;) {
+                                         const pgwire::Read next =
+                                             pgwire::read_from_store(connection->buffer.held());
+                                         if (std::holds_alternative<pgwire::Partial>(next)) break;
+                                         const auto* message = std::get_if<pgwire::Message>(&next);
+                                         const bool fits = message && take(*connection, *message);
+                                         if (connection->state == Connection::State::given_back) return;
+                                         if (!fits) return spoilt(*connection);
+                                         connection->buffer.consume(message->bytes.size());
+                                       }
+                                       if (fault) return broken(*connection);
+                                       read(connection);
+                                     });
 }
 
 // One message of a store. False: it does not belong there.
@@ -230,58 +247,81 @@
       return connection.state == State::opening;
     case 'N':
       return true;
-    case 'S': {
+    case 'S': {  // beside the answer: one that does not read takes nothing from it
       const auto parameter = pgwire::read_parameter(message.body);
-      if (!parameter) return false;
-      if (!work) return true;
+      if (!work || !parameter) return true;
       const auto [name, value] = *parameter;
       if (name == "rank")
         work->seen.role = value == "source" ? Role::primary : value == "copy" ? Role::replica : Role::unknown;
-      if (name == "as_of") work->seen.position = pgwire::number(value).value_or(work->seen.position);
-      if (name == "vitals") read_report(value, work->seen);
+      if (const auto position = pgwire::number(value);
+          name == "as_of" && position && can_be(*position, clock_.now()))
+        work->seen.position = *position;
+      if (name == "vitals") read_report(value, clock_.now(), work->seen);
       return true;
     }
     case 'E': {
       const auto fields = pgwire::read_error(message.body);
-      if (!fields) return false;
+      if (!fields || connection.state == State::settling || (work && (work->complete || work->code)))
+        return false;
       (work ? work->code : connection.code) = fields->code;
       return true;  // an idle store says why it ends the connection, which comes next
     }
     case 'T':
-      if (!work || work->described || pgwire::columns(message.body) != 1) return false;
+      if (!work || work->code || work->described || !pgwire::describes_one_column(message.body)) return false;
       work->described = true;
       work->row += message.bytes;
       return true;
     case 'D': {
-      const auto values = pgwire::read_row(message.body);
-      if (!work || !work->described || !values || values->size() != 1 || ++work->rows > 1) return false;
-      if (!work->send) read_report(values->front(), work->seen);
+      const auto value = pgwire::read_row(message.body);
+      if (!work || work->code || !work->described || work->has_row || !value) return false;
+      work->has_row = true;
+      if (!work->send) read_report(*value, clock_.now(), work->seen);
       work->row += message.bytes;
       return true;
     }
     case 'C':
-      if (!work || work->complete) return false;
+      if (!work || work->code || !work->has_row || work->complete || !pgwire::read_tag(message.body))
+        return false;
       work->complete = true;
       work->row += message.bytes;
       return true;
     case 'Z':
-      if (connection.state == State::opening) {
-        --connection.store.opening;
-        timers_.drop(connection.limit);
+      if (message.body.size() != 1) return false;
+      if (connection.state == State::opening || (connection.state == State::settling && connection.written)) {
         rest(connection);
         return true;
       }
       if (!work || !connection.written || !(work->complete || work->code)) return false;
+      settle(connection);
       end(std::move(connection.work));
-      rest(connection);
       return true;
+    case 'I':
+      return connection.state == State::settling && !std::exchange(connection.written, true);
     default:
       return false;
   }
 }
 
+// Behind an answer an empty query is asked, which costs the store nothing: its answer shows that nothing more
+// comes that belongs to the one before. Guards against a second copy being taken for the next op's answer.
+void Members::settle(Connection& connection) {
+  connection.state = Connection::State::settling;
+  ++connection.store.coming;
+  connection.written = false;  // until the answer to the empty query begins
+  connection.out = pgwire::query("");
+  const Connected held = *connection.place;
+  connection.limit = timers_.set(clock_.now() + placement_.connect_time_out, [this, held] {
+    held->limit.reset();
+    broken(*held);
+  });
+  asio::async_write(connection.socket, asio::buffer(connection.out),
+                    [held](const asio::error_code&, std::size_t) {});  // the read sees what breaks
+}
+
 // The connection may take the next send or probe.
 void Members::rest(Connection& connection) {
+  --connection.store.coming;
+  timers_.drop(connection.limit);
   connection.state = Connection::State::idle;
   connection.idle_since = clock_.now();
   connection.store.idle.push_back(&connection);
@@ -295,12 +335,24 @@
     return opened_not(connection, full ? Ending::turned_away_full : Ending::connect_failed);
   }
   const bool written = connection.written;
+  Store& store = connection.store;
   std::unique_ptr<Work> work = give_back(connection);
-  if (!work) return;
+  if (!work) return dispatch(store);
   if (work->complete || work->code) return end(std::move(work));
   end(std::move(work), written ? Ending::reset : Ending::connect_failed);
 }
 
+// What came can't be read, or does not belong there. An answer that is spoilt may have run, and the store is
+// there: it counts as an error, of which nothing else is believed. The connection is of no further use.
+void Members::spoilt(Connection& connection) {
+  log_.warn("stores", "{} sends what can't be read", connection.store.id.address);
+  if (!connection.work || !connection.written) return broken(connection);
+  std::unique_ptr<Work> work = give_back(connection);
+  work->seen = {};
+  work->spoilt = true;
+  end(std::move(work), Ending::errored);
+}
+
 void Members::out_of_time(Work& late) {
   if (late.on) return end(give_back(*late.on), Ending::timed_out);
   end(take_waiting(late), Ending::never_sent);
@@ -337,7 +389,7 @@
 
 // What came whole is an answer, whatever became of the connection after it.
 void Members::end(std::unique_ptr<Work> work) {
-  const bool acked = !work->code && work->complete && work->rows == 1;
+  const bool acked = !work->code && work->complete;
   const Ending ending = acked ? Ending::acked : work->code ? ending_of_code(*work->code) : Ending::errored;
   end(std::move(work), ending);
 }
@@ -346,7 +398,8 @@
 void Members::end(std::unique_ptr<Work> work, Ending ending) {
   timers_.drop(work->limit);
   const Millis took = clock_.now() - work->from;
-  if (!work->send) return probe_done_({work->store->id, ending == Ending::acked, took, work->seen});
+  if (!work->send)
+    return probe_done_({work->store->id, ending == Ending::acked || work->spoilt, took, work->seen});
   sends_.erase(*work->send);
   SendEnded ended{work->send->first, work->send->second, work->store->id, ending, took, false, work->seen};
   send_done_(std::move(ended), std::move(work->row));
@@ -354,7 +407,8 @@
 
 // Connections are given back here and nowhere else; what one had in hand is returned.
 std::unique_ptr<Members::Work> Members::give_back(Connection& connection) {
-  if (connection.state == Connection::State::opening) --connection.store.opening;
+  if (connection.state == Connection::State::opening || connection.state == Connection::State::settling)
+    --connection.store.coming;
   if (connection.state == Connection::State::idle) std::erase(connection.store.idle, &connection);
   connection.state = Connection::State::given_back;
   timers_.drop(connection.limit);
--- a/src/front/members.hpp
+++ b/src/front/members.hpp
@@ -54,7 +54,10 @@
   void begin(Connection& connection, std::unique_ptr<Work> work);
   void read(const Connected& connection);
   bool take(Connection& connection, const pgwire::Message& message);
+  bool in_order(Connection& connection);
+  void settle(Connection& connection);
   void broken(Connection& connection);
+  void spoilt(Connection& connection);
   void out_of_time(Work& work);
   std::unique_ptr<Work> take_first(Store& store);
   std::unique_ptr<Work> take_waiting(Work& work);
--- a/src/front/pgwire.cpp
+++ b/src/front/pgwire.cpp
@@ -53,7 +53,7 @@
     case 'T':
       return kNamed;
     default:
-      return std::string_view("RKCZ").find(type) != std::string_view::npos ? kShort : 0;
+      return std::string_view("RKCZI").find(type) != std::string_view::npos ? kShort : 0;
   }
 }
 std::size_t longest_startup(char) { return 10000; }  // as PostgreSQL has it
@@ -207,37 +207,35 @@
     if (name == 'C') fields.code = *text;
     if (name == 'M') fields.text = *text;
   }
-  if (fields.code.empty()) return std::nullopt;
+  if (fields.code.empty() || body.size() != 1) return std::nullopt;
   return fields;
 }
 
+bool read_tag(std::string_view body) {
+  const auto text = take_text(body);
+  return text && !text->empty() && body.empty() &&
+         std::ranges::all_of(*text, [](char letter) { return letter >= ' ' && letter <= '~'; });
+}
+
 std::optional<std::pair<std::string_view, std::string_view>> read_parameter(std::string_view body) {
   const auto name = take_text(body);
   const auto value = name ? take_text(body) : std::nullopt;
-  if (!value) return std::nullopt;
+  if (!value || !body.empty()) return std::nullopt;
   return std::pair(*name, *value);
 }
 
-std::optional<std::size_t> columns(std::string_view row_description) {
-  if (row_description.size() < 2) return std::nullopt;
-  return number_at(row_description, 0, 2);
+bool describes_one_column(std::string_view row_description) {
+  constexpr std::size_t kBehindName = 18;  // table, column, type, its size and modifier, format
+  if (row_description.size() < 2 || number_at(row_description, 0, 2) != 1) return false;
+  row_description.remove_prefix(2);
+  return take_text(row_description) && row_description.size() == kBehindName;
 }
 
-std::optional<std::vector<std::string_view>> read_row(std::string_view data_row) {
-  if (data_row.size() < 2) return std::nullopt;
-  std::vector<std::string_view> values(number_at(data_row, 0, 2));
-  data_row.remove_prefix(2);
-  for (std::string_view& value : values) {
-    if (data_row.size() < 4) return std::nullopt;
-    const std::uint32_t length = number_at(data_row, 0, 4);
-    data_row.remove_prefix(4);
-    if (length == 0xffffffff) continue;
-    if (data_row.size() < length) return std::nullopt;
-    value = data_row.substr(0, length);
-    data_row.remove_prefix(length);
-  }
-  if (!data_row.empty()) return std::nullopt;
-  return values;
+std::optional<std::string_view> read_row(std::string_view data_row) {
+  constexpr std::size_t kHead = 6;  // how many values, how long the one is
+  if (data_row.size() < kHead || number_at(data_row, 0, 2) != 1) return std::nullopt;
+  if (number_at(data_row, 2, 4) != data_row.size() - kHead) return std::nullopt;
+  return data_row.substr(kHead);
 }
 
 std::string startup(std::string_view user, std::string_view database) {
--- a/src/front/pgwire.hpp
+++ b/src/front/pgwire.hpp
@@ -65,8 +65,9 @@
 };
 std::optional<ErrorFields> read_error(std::string_view body);
 std::optional<std::pair<std::string_view, std::string_view>> read_parameter(std::string_view body);
-std::optional<std::size_t> columns(std::string_view row_description);
-std::optional<std::vector<std::string_view>> read_row(std::string_view data_row);
+bool describes_one_column(std::string_view row_description);
+std::optional<std::string_view> read_row(std::string_view data_row);  // its one value, which is not null
+bool read_tag(std::string_view body);                                 // of what was done
 
 // Messages to send.
 std::string startup(std::string_view user, std::string_view database);
--- a/tests/forms.cpp
+++ b/tests/forms.cpp
@@ -76,9 +76,8 @@
   std::size_t read = 0;
   for (std::size_t size = 0; size < body.size(); ++size)
     read += pgwire::read_row(body.substr(0, size)).has_value();
-  const auto values = pgwire::read_row(body);
-  std::cout << "  " << (values ? std::to_string(values->size()) + " values" : "none") << ", of its cuts "
-            << read << '\n';
+  const auto value = pgwire::read_row(body);
+  std::cout << "  " << (value ? "value " + std::string(*value) : "none") << ", of its cuts " << read << '\n';
 }
 }  // namespace
 
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -356,6 +356,8 @@
         if (store.manner == "welcomes") put(link.fd, pgwire::welcome());
         if (store.manner == "full")
           put(link.fd, pgwire::error(pgwire::Severity::fatal, "53300", "too many connections"));
+      } else if (text.empty()) {
+        put(link.fd, pgwire::empty_answer());
       } else if (text == "SHOW vitals") {
         put(link.fd, row_of(with_now(store.vitals, true)) + pgwire::ready());
       } else {
@@ -433,7 +435,7 @@
       whole = got->type == 'Z' && link.greeted;
       if (got->type == 'Z') link.greeted = true;
       if (got->type == 'I') std::cout << "  empty\n";
-      if (got->type == 'D') std::cout << "  row " << pgwire::read_row(got->body)->at(0) << '\n';
+      if (got->type == 'D') std::cout << "  row " << *pgwire::read_row(got->body) << '\n';
       if (got->type == 'C') std::cout << "  " << got->body.substr(0, got->body.find('\0')) << '\n';
       if (got->type == 'E') {
         const auto fault = *pgwire::read_error(got->body);
