--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -177,6 +177,7 @@
 }
 void Front::carry_out(const Probe& decision) { members_.probe(decision.member, decision.time_out); }
 void Front::carry_out(const WatchList&) { list_.watch(); }
+void Front::carry_out(const Forget& decision) { members_.forget(decision.member); }
 void Front::carry_out(const TellPeers& decision) { peers_.tell(decision.text); }
 void Front::carry_out(const LogLine& decision) { log_.info("decisions", "{}", decision.text); }
 
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -60,6 +60,7 @@
   void carry_out(const Wake& decision);
   void carry_out(const Probe& decision);
   void carry_out(const WatchList& decision);
+  void carry_out(const Forget& decision);
   void carry_out(const TellPeers& decision);
   void carry_out(const LogLine& decision);
 
--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -104,21 +104,25 @@
     auto& store = stores_[listed.entry.member];
     if (!store) store = std::make_unique<Store>();
     store->id = listed.entry.member;
-    store->endpoint = listed.endpoint;
+    if (std::exchange(store->endpoint, listed.endpoint) != listed.endpoint) store->up_since = clock_.now();
     store->state = listed.entry.state;
     store->up_since = std::max(store->up_since, listed.entry.up_since);
   }
   for (auto& [id, store] : stores_) {
-    // A connection from before the store's last start can only end as a reset.
     const bool leaves = store->state != MemberState::ready;
     for (Connection* connection : std::vector(store->idle))
-      if (leaves || connection->opened < store->up_since) give_back(*connection);
+      if (outlived(*connection)) give_back(*connection);
     // The rule counts a send from its first byte, which these have not written.
     if (leaves)
       while (!store->waiting.empty()) end(take_first(*store), Ending::never_sent);
   }
 }
 
+// A connection from before the store's last start, or to where it was before, can only end as a reset.
+bool Members::outlived(const Connection& connection) {
+  return connection.store.state != MemberState::ready || connection.opened < connection.store.up_since;
+}
+
 void Members::send(OpId op, SendNumber number, const MemberId& member, Millis time_out,
                    std::shared_ptr<const std::string> text, pgwire::Place patience) {
   auto work = std::make_unique<Work>();
@@ -133,6 +137,13 @@
   add(*stores_.at(member), std::make_unique<Work>(), time_out);
 }
 
+// Stores are given back here and nowhere else.
+void Members::forget(const MemberId& member) {
+  for (const Connected& connection : std::list(connections_))
+    if (connection->store.id == member) give_back(*connection);
+  stores_.erase(member);
+}
+
 void Members::add(Store& store, std::unique_ptr<Work> work, Millis time_out) {
   work->store = &store;
   work->from = clock_.now();
@@ -325,7 +336,9 @@
   connection.state = Connection::State::idle;
   connection.idle_since = clock_.now();
   connection.store.idle.push_back(&connection);
-  dispatch(connection.store);
+  Store& store = connection.store;
+  if (outlived(connection)) give_back(connection);
+  dispatch(store);
 }
 
 // The store has ended the connection, or nothing more can be understood on it.
--- a/src/front/members.hpp
+++ b/src/front/members.hpp
@@ -37,6 +37,8 @@
   void call_off(OpId op, SendNumber number);
   // The op has ended: what is not written of it yet never will be.
   void forget(OpId op);
+  // Nothing is out at the store, and nothing more will be.
+  void forget(const MemberId& member);
   void probe(const MemberId& member, Millis time_out);
 
   void stop();
@@ -54,6 +56,7 @@
   void begin(Connection& connection, std::unique_ptr<Work> work);
   void read(const Connected& connection);
   bool take(Connection& connection, const pgwire::Message& message);
+  static bool outlived(const Connection& connection);
   bool in_order(Connection& connection);
   void settle(Connection& connection);
   void broken(Connection& connection);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -86,7 +86,7 @@
   Millis probe_out = kNever, next_probe = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   double limit = 0, credit = 0;
-  Millis yielded = kNever, credit_at = kNever, rests_until = kNever;
+  Millis yielded = kNever, credit_at = kNever, rests_until = kNever, there = kNever;
   int out = 0;
   long turn = 0, mark = 0;
 };
@@ -130,8 +130,7 @@
   void note(const Event& event) override { noted_.push_back(event); }
 
   std::vector<Decision> settle(Millis now) override {
-    if (born_ == kNever) born_ = now;
-    now_ = now;
+    now_ = now, born_ = born_ == kNever ? now : born_;
     for (const Event& event : noted_) std::visit([this](const auto& e) { learn(e); }, event);
     noted_.clear();
     judge_flights();
@@ -157,8 +156,10 @@
 
   void learn(const ListRead& read) {
     if (read.kind == ListKind::failed) return void(next_watch_ = now_ + 200 + spread());
-    if (read.kind != ListKind::changes)
-      for (auto& [id, member] : members_) member.entry.state = MemberState::gone;
+    for (auto& [id, member] : members_) {
+      if (member.entry.state != MemberState::gone || member.out > 0) member.there = now_;
+      if (read.kind != ListKind::changes) member.entry.state = MemberState::gone;
+    }
     for (const ListedMember& entry : read.members) {
       const auto [at, is_new] = members_.try_emplace(entry.member);
       Member& member = at->second;
@@ -178,9 +179,18 @@
       touch(member);
       if (entry.state != MemberState::gone) member.drained = entry.state == MemberState::draining;
       if (entry.up_since <= member.cold_since || entry.up_since <= 0) continue;
-      member.cold_since = entry.up_since;
-      member.next_probe = now_;
+      member.cold_since = entry.up_since, member.next_probe = now_;
     }
+    // Guards against growing where stores are replaced all day. What has been gone for half a minute is
+    // forgotten: no late word of the list, no answer and no excuse for a former primary is due by then.
+    std::erase_if(members_, [this](auto& item) {
+      Member& member = item.second;
+      if (!bound_by_gone_ || member.probe_out != kNever || now_ - member.there < 30000) return false;
+      if (member.entry.state != MemberState::gone) return false;
+      std::erase(touch(member).members, &member), std::erase(marked_, std::pair(member.mark, &member));
+      want_forgets_.push_back(item.first);
+      return true;
+    });
   }
 
   void learn(const OpArrived& arrived) {
@@ -219,8 +229,7 @@
   void learn(const SendEnded& ended) {
     const auto flight = flights_.find({ended.op, ended.send});
     if (flight == flights_.end()) return;
-    const Flight was = std::move(flight->second);
-    flights_.erase(flight);
+    const Flight was = flights_.extract(flight).mapped();
     Member& member = *was.member;
     touch(member);
     const OpType& type = type_of(was.op.type);
@@ -241,8 +250,7 @@
     if (is(Ending::turned_away_full)) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them.
       yield(member);
-      member.limit = std::max(floor(), member.limit * 0.85);
-      member.rests_until = now_ + kProbePeriod / 2;
+      member.limit = std::max(floor(), member.limit * 0.85), member.rests_until = now_ + kProbePeriod / 2;
     }
     const auto found = ops_.find(ended.op);
     if (found == ops_.end()) return;
@@ -256,9 +264,8 @@
           {ended.seen.position >= 0 ? member.proven : at - wanted_lag(was.op, type, was.sent) - 1, at}};
     }
     --op.out, op.turned_away += untouched;
-    const bool not_run =
-        untouched || is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent);
-    if (!not_run && op.may_have_run == kNever) op.may_have_run = was.sent;
+    const bool ran = !untouched && !is(Ending::turned_away_full, Ending::connect_failed, Ending::never_sent);
+    if (ran && op.may_have_run == kNever) op.may_have_run = was.sent;
     if (ended.op_ended) ops_.erase(found);
   }
 
@@ -562,11 +569,9 @@
       const bool will_do =
           type.needs == Needs::any || (type.needs == Needs::session && member->proven >= op.token);
       if (!fits && !will_do) continue;
-      int tier = fits && !keeps ? 0 : 1;
+      int tier = (!fits || keeps) + 4 * down(*member);
       if (zone_price_ > 0 && member->entry.zone.number != zone_) tier += 2;
-      if (down(*member)) tier += 4;
-      std::pair<int, long> rank{tier, member->turn};
-      if (type.long_work) rank.first = tier / 4 * 4 + !keeps;
+      const std::pair<int, long> rank{type.long_work ? tier / 4 * 4 + !keeps : tier, member->turn};
       if (!best || rank < best_rank) best = member, best_rank = rank;
     }
     if (best && best_rank.first < 4) return best;
@@ -612,8 +617,7 @@
     if (!may_send || now_ + std::max(expected, 2 * tick_) > useful_until) {
       const bool harmless =
           !ran || type.effect == Effect::retryable || (type.effect == Effect::tokened && !type.group_tokens);
-      op.want = harmless ? Want::busy_reply : Want::error_reply;
-      return;
+      return void(op.want = harmless ? Want::busy_reply : Want::error_reply);
     }
     Member* to = op.to = choose(op, type);
     // Guards against sitting on an op its client could ask for again: unsent at half its patience, it ends.
@@ -649,8 +653,7 @@
     bool due = false;
     for (Member* member : group.members) {
       const Millis at = probe_at(group, *member);
-      due = due || at <= now_;
-      if (at > now_) next_probe_ = std::min(next_probe_, at);
+      at <= now_ ? void(due = true) : void(next_probe_ = std::min(next_probe_, at));
     }
     // What this instance tells of a group goes into one message.
     for (Member* member : group.members)
@@ -670,18 +673,17 @@
 
   std::vector<Decision> emit() {
     std::vector<Decision> out;
+    for (const MemberId& member : std::exchange(want_forgets_, {})) out.push_back(Forget{member});
     if (std::exchange(want_watch_, false)) out.push_back(WatchList{}), next_watch_ = kForever;
     for (Member* member : std::exchange(want_probes_, {})) {
       out.push_back(Probe{member->entry.member, probe_wait_});
-      member->probe_out = now_;
-      member->next_probe = now_ + kProbePeriod * 0.75;
+      member->probe_out = now_, member->next_probe = now_ + kProbePeriod * 0.75;
     }
     tell(out);
     for (auto& [key, flight] : flights_) {
       if (!flight.want_call_off || flight.called_off) continue;
       out.push_back(CallOff{key.first, key.second});
-      flight.called_off = true;
-      flight.member->op_bad = now_;
+      flight.called_off = true, flight.member->op_bad = now_;
     }
     for (auto& [id, op] : ops_) {
       if (op.want == Want::send) {
@@ -705,8 +707,7 @@
     std::string text;
     for (const Member* member : std::exchange(want_tells_, {})) {
       if (text.empty()) text = "r1" + digits(now % kClock, 5);
-      const long lag = static_cast<long>(
-          std::ceil((static_cast<double>(now) - member->proven) / static_cast<double>(kLagUnit)));
+      const long lag = static_cast<long>(std::ceil((static_cast<double>(now) - member->proven) / kLagUnit));
       text += digits(member->mark, 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
       text += member->primary_at > member->replica_at ? '1' : '2';
       if (text.size() + kEntry > kLongest) break;  // the rest is told when its turn comes again
@@ -718,12 +719,12 @@
       catalog_.number("allow.longest_come_back") * (catalog_.number("allow.come_back") > 0);
 
   double primary_density_ = 1e-9, long_part_ = 0;
-  Millis now_ = 0, born_ = kNever, armed_ = kNever;
+  Millis now_ = 0, born_ = kNever, armed_ = kNever, next_watch_ = kNever, next_probe_ = 0;
   TimerId armed_as_;
-  Millis next_watch_ = kNever, next_probe_ = 0;
   bool want_watch_ = false;
   long turn_ = 0;
   std::vector<Member*> want_probes_, want_tells_;
+  std::vector<MemberId> want_forgets_;
   std::vector<Group*> touched_;
   std::vector<Event> noted_;
   std::map<MemberId, Member> members_;
@@ -731,13 +732,12 @@
   std::vector<std::pair<long, Member*>> marked_;  // by mark
   std::map<OpId, Op> ops_;
   std::map<std::string, Millis> remembered_;
-  Millis remembered_floor_ = kNever;
+  Millis remembered_floor_ = kNever, doubted_ = kNever;  // doubted: when probes were last found wrong
   std::map<std::pair<OpId, SendNumber>, Flight> flights_;
   std::map<OpTypeId, std::deque<Millis>> patiences_;  // of the last ops, by op type
   std::map<OpTypeId, std::deque<Millis>> latencies_;  // of the last answers, by op type
   std::deque<Millis> short_latencies_;                // of the last answers of short work
   std::deque<std::pair<bool, Millis>> work_;          // of the last answers: whether long, latency
-  Millis doubted_ = kNever;                           // when probes were last found wrong
 };
 
 }  // namespace
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -148,6 +148,10 @@
   Millis time_out = 0;
 };
 struct WatchList {};
+// The member is gone for good: no decision names it again unless a list does.
+struct Forget {
+  MemberId member;
+};
 struct TellPeers {
   std::string text;  // to every other instance
 };
@@ -155,7 +159,7 @@
   std::string text;
 };
 using Decision =
-    std::variant<Send, CallOff, BusyReply, ErrorReply, Wake, Probe, WatchList, TellPeers, LogLine>;
+    std::variant<Send, CallOff, BusyReply, ErrorReply, Wake, Probe, WatchList, Forget, TellPeers, LogLine>;
 
 class Router {
  public:
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -94,6 +94,7 @@
   void operator()(const ErrorReply& d) { line("FinishError", {id(d.op)}); }
   void operator()(const Wake& d) { line("Defer", {std::to_string(d.timer.number), ns(d.at)}); }
   void operator()(const Probe& d) { line("AskLoad", {quoted(d.member.address)}); }
+  void operator()(const Forget&) {}  // the simulator forgets by itself
   void operator()(const WatchList&) { line("KeepInformed", {"true"}); }
   void operator()(const TellPeers& d) { line("Share", {"null", quoted(d.text)}); }
   void operator()(const LogLine& d) { line("WriteLog", {quoted(d.text)}); }
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -54,6 +54,7 @@
   void operator()(const ErrorReply& d) const { std::cout << "  error reply " << d.op.number << '\n'; }
   void operator()(const Wake&) const {}
   void operator()(const Probe& d) const { std::cout << "  probe " << d.member.address << '\n'; }
+  void operator()(const Forget& d) const { std::cout << "  forget " << d.member.address << '\n'; }
   void operator()(const WatchList&) const { std::cout << "  watch the list\n"; }
   void operator()(const TellPeers& d) const { std::cout << "  tell " << d.text << '\n'; }
   void operator()(const LogLine& d) const { std::cout << "  log " << d.text << '\n'; }
