--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -183,8 +183,8 @@
     }
     // Guards against growing where stores are replaced all day. What has been gone for half a minute is
     // forgotten: no late word of the list, no answer and no excuse for a former primary is due by then.
-    std::erase_if(members_, [this](auto& item) {
-      Member& member = item.second;
+    std::erase_if(members_, [this](const auto& item) {
+      Member& member = members_.at(item.first);
       if (!bound_by_gone_ || member.probe_out != kNever || now_ - member.there < 30000) return false;
       if (member.entry.state != MemberState::gone) return false;
       std::erase(touch(member).members, &member), std::erase(marked_, std::pair(member.mark, &member));
