One ended connection takes no store down; an empty query before a connection is used again

Compared with what crossed the sockets: 13% of the commands met a connection that the network or the store had ended (742 while the command came, 286 under it, 155 kept ones, 651 written to connections ended as idle), while the stores answered all others at once. The belief was wrong: each reset set op_bad, which excluded its store until the next answer, and silent() then called off all retryable ops out there, ending the connections that worked.

--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -154,27 +154,10 @@
 }
 
 void Members::dispatch(Store& store) {
-  while (!store.waiting.empty() && !store.idle.empty()) {
-    Connection& connection = *store.idle.back();
-    if (!in_order(connection)) {
-      give_back(connection);
-      continue;
-    }
-    store.idle.pop_back();
-    begin(connection, take_first(store));
-  }
+  while (store.coming < store.waiting.size() && !store.idle.empty()) settle(*store.idle.back());
   while (store.coming < store.waiting.size()) open(store);
 }
 
-// Nothing has come on an idle connection, also nothing that has not been read yet, and it has not been ended.
-// Guards against taking what belongs to an earlier answer for the next op's, and against sending into an end.
-bool Members::in_order(Connection& connection) {
-  char byte;
-  asio::error_code state;
-  connection.socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, state);
-  return state == asio::error::would_block;
-}
-
 void Members::open(Store& store) {
   if (connections_.size() >= placement_.store_connections() && !close_an_idle_one())
     return end(take_first(store), Ending::connect_failed);
@@ -299,12 +282,15 @@
     case 'Z':
       if (message.body.size() != 1) return false;
       if (connection.state == State::opening || (connection.state == State::settling && connection.written)) {
-        rest(connection);
+        ready(connection);
         return true;
       }
       if (!work || !connection.written || !(work->complete || work->code)) return false;
-      settle(connection);
-      end(std::move(connection.work));
+      {
+        std::unique_ptr<Work> done = std::move(connection.work);
+        rest(connection);
+        end(std::move(done));
+      }
       return true;
     case 'I':
       return connection.state == State::settling && !std::exchange(connection.written, true);
@@ -313,9 +299,12 @@
   }
 }
 
-// Behind an answer an empty query is asked, which costs the store nothing: its answer shows that nothing more
-// comes that belongs to the one before. Guards against a second copy being taken for the next op's answer.
+// Before a connection is used again an empty query is asked on it, which costs the store nothing: its answer
+// shows that the connection still stands and that nothing comes any more that belongs to the answer before.
+// Guards against a second copy being taken for the next op's answer, and ops against connections that have
+// been ended without a word.
 void Members::settle(Connection& connection) {
+  std::erase(connection.store.idle, &connection);
   connection.state = Connection::State::settling;
   ++connection.store.coming;
   connection.written = false;  // until the answer to the empty query begins
@@ -323,16 +312,25 @@
   const Connected held = *connection.place;
   connection.limit = timers_.set(clock_.now() + placement_.connect_time_out, [this, held] {
     held->limit.reset();
-    broken(*held);
+    // The store says nothing: its other connections would not, either.
+    for (Connection* idle : std::vector(held->store.idle)) give_back(*idle);
+    opened_not(*held, Ending::connect_failed);
   });
   asio::async_write(connection.socket, asio::buffer(connection.out),
                     [held](const asio::error_code&, std::size_t) {});  // the read sees what breaks
 }
 
-// The connection may take the next send or probe.
-void Members::rest(Connection& connection) {
+// The connection may take a send or a probe now.
+void Members::ready(Connection& connection) {
   --connection.store.coming;
   timers_.drop(connection.limit);
+  connection.state = Connection::State::idle;
+  Store& store = connection.store;
+  if (store.waiting.empty() || outlived(connection)) return rest(connection);
+  begin(connection, take_first(store));
+}
+
+void Members::rest(Connection& connection) {
   connection.state = Connection::State::idle;
   connection.idle_since = clock_.now();
   connection.store.idle.push_back(&connection);
--- a/src/front/members.hpp
+++ b/src/front/members.hpp
@@ -57,7 +57,7 @@
   void read(const Connected& connection);
   bool take(Connection& connection, const pgwire::Message& message);
   static bool outlived(const Connection& connection);
-  bool in_order(Connection& connection);
+
   void settle(Connection& connection);
   void broken(Connection& connection);
   void spoilt(Connection& connection);
@@ -66,6 +66,7 @@
   std::unique_ptr<Work> take_waiting(Work& work);
   void end(std::unique_ptr<Work> work);
   void end(std::unique_ptr<Work> work, Ending ending);
+  void ready(Connection& connection);
   void rest(Connection& connection);
   std::unique_ptr<Work> give_back(Connection& connection);
   void sweep();
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -86,7 +86,7 @@
   Millis probe_out = kNever, next_probe = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   double limit = 0, credit = 0;
-  Millis yielded = kNever, credit_at = kNever, rests_until = kNever, there = kNever;
+  Millis yielded = kNever, credit_at = kNever, rests_until = kNever, there = kNever, hurt = kNever;
   int out = 0;
   long turn = 0, mark = 0;
 };
@@ -245,7 +245,9 @@
       remember(was.op.session, ended, type);
       if (warmth(member) >= 1) keep(acked_, now_, 10000);
     }
-    if (is(Ending::reset, Ending::connect_failed)) member.op_bad = now_;
+    // Guards against taking a member for down by the end of one connection: twice with no answer between.
+    if (is(Ending::reset, Ending::connect_failed) && std::exchange(member.hurt, now_) > member.last_good)
+      member.op_bad = now_;
     if (is(Ending::acked, Ending::timed_out)) pace(member, was.op.type, ended.took);
     if (is(Ending::turned_away_full)) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them.
@@ -448,11 +450,9 @@
   }
 
   // Guards against members that hang, vanish or are cut off. A probe is answered beside the queue: an overdue
-  // member whose probe failed or is out for 50 ms is silent. With probes in doubt, overdue five times has to
-  // do.
+  // member whose probe failed or is out for 50 ms is silent; with probes in doubt, one overdue five times.
   bool silent(const Member& member) const {
     const bool probe_late = member.probe_out > member.last_good && now_ - member.probe_out > 50;
-    if (member.op_bad > member.last_good) return true;
     return probes_count() ? overdue(member) && (down(member) || probe_late) : overdue(member, 5);
   }
 
@@ -634,7 +634,7 @@
   Millis probe_at(const Group& group, const Member& member) const {
     if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
     if (overdue(member) && member.probe_bad < member.oldest_out) return std::max(now_, member.next_probe);
-    if (member.op_bad > std::max(member.last_good, member.probe_bad)) return member.next_probe;
+    if (member.hurt > std::max(member.last_good, member.probe_bad)) return member.next_probe;
     Millis at = std::max(member.heard, born_ - kProbePeriod) + kProbePeriod + (group.mine ? 0 : group.wait);
     if (group.asked) at = std::min(at, member.heard + kSampleAge / 2);
     return std::max(at, member.next_probe);
@@ -683,7 +683,7 @@
     for (auto& [key, flight] : flights_) {
       if (!flight.want_call_off || flight.called_off) continue;
       out.push_back(CallOff{key.first, key.second});
-      flight.called_off = true, flight.member->op_bad = now_;
+      flight.called_off = true, flight.member->op_bad = flight.member->hurt = now_;
     }
     for (auto& [id, op] : ops_) {
       if (op.want == Want::send) {
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -48,7 +48,7 @@
 struct Link {
   int fd = -1;
   std::string held;  // read and not yet taken
-  bool started = false, ended = false, greeted = false;
+  bool started = false, ended = false, greeted = false, dropped = false;
   std::string asked;  // by the front, not yet answered
 };
 
@@ -344,7 +344,7 @@
     }
   }
   void serve(Store& store, Link& link) {
-    if (!fill(link)) {
+    if (!fill(link) || link.dropped) {
       link.ended = true;
       close(link.fd);
       return;
@@ -459,6 +459,10 @@
       return store.gets.pop_front();
     }
     if (what == "tells") return void(store.vitals = remainder(line));
+    if (what == "drops") {  // every connection, without a word until something is sent there
+      for (Link& at : store.links) at.dropped = true;
+      return;
+    }
     if (what == "refuses") return void(close(std::exchange(store.listening, -1)));
     if (what == "welcomes" || what == "full" || what == "hangs") return void(store.manner = what);
     line >> id;
