--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -48,8 +48,9 @@
 struct Link {
   int fd = -1;
   std::string held;  // read and not yet taken
-  bool started = false, ended = false, greeted = false, dropped = false;
+  bool started = false, ended = false, greeted = false;
   std::string asked;  // by the front, not yet answered
+  bool dropped = false;
 };
 
 struct Store {
