The usual latency is worked out once an answer, not once a decision

Lines: decide() and overdue() sorted a copy of the last latencies for each held op and member at each settle. Now the quartile is kept with the samples, and overdue() looks at the time first; what is decided is the same (no trace of a case changes). A member listed again in the batch that forgets it is no longer named to the front as forgotten.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -165,7 +165,7 @@
       Member& member = at->second;
       member.entry = entry;
       if (is_new) {
-        member.mark = mark_of(entry.member);
+        member.mark = mark_of(entry.member), std::erase(want_forgets_, entry.member);
         marked_.emplace_back(member.mark, &member);
         std::sort(marked_.begin(), marked_.end());
         std::vector<Member*>& members = touch(member).members;
@@ -389,7 +389,7 @@
   // slow. Harm: op types whose latency target says little of their work.
   void pace(Member& member, OpTypeId id, Millis took) {
     const OpType& type = type_of(id);
-    keep(latencies_[id], took, 32);
+    keep(latencies_[id], took, 32), usual_[id] = quantile(latencies_[id], 0.75, 0);
     keep(work_, {type.long_work, took}, 256);
     if (!type.long_work) {
       keep(member.latencies, took, 16);
@@ -415,8 +415,7 @@
     member.yielded = now_;
   }
 
-  // Any server runs a few ops at once; the instances share it.
-  double floor() const { return 4 / instances_; }
+  double floor() const { return 4 / instances_; }  // what any server runs at once, shared
 
   const OpType& type_of(OpTypeId type) const {
     return catalog_.op_types.at(static_cast<std::size_t>(type.number));
@@ -444,9 +443,9 @@
 
   // No answer of any kind for longer than its answers usually take, with an op out all that time.
   bool overdue(const Member& member, double times = 3) const {
-    if (member.oldest_out == kNever) return false;
-    const Millis usual = quantile(member.latencies.empty() ? short_latencies_ : member.latencies, 0.75, 100);
-    return now_ - std::max(member.last_good, member.oldest_out) > std::max(60.0, times * usual);
+    const Millis mute = now_ - std::max(member.last_good, member.oldest_out);
+    if (member.oldest_out == kNever || mute <= 60) return false;
+    return mute > times * quantile(member.latencies.empty() ? short_latencies_ : member.latencies, 0.75, 100);
   }
 
   // Guards against members that hang, vanish or are cut off. A probe is answered beside the queue: an overdue
@@ -613,7 +612,7 @@
     const bool may_send = op.sends < most_sends_ && (!ran || type.effect == Effect::retryable || remembered);
     // What can't be answered in time by the usual latency (its upper quartile) is ended. Never by over 0.6 of
     // the latency target: samples of a bad time would lock everything out.
-    const Millis expected = std::min(quantile(latencies_[op.type], 0.75, 0), type.target * 0.6);
+    const Millis expected = std::min(usual_[op.type], type.target * 0.6);
     if (!may_send || now_ + std::max(expected, 2 * tick_) > useful_until) {
       const bool harmless =
           !ran || type.effect == Effect::retryable || (type.effect == Effect::tokened && !type.group_tokens);
@@ -736,6 +735,7 @@
   std::map<std::pair<OpId, SendNumber>, Flight> flights_;
   std::map<OpTypeId, std::deque<Millis>> patiences_;  // of the last ops, by op type
   std::map<OpTypeId, std::deque<Millis>> latencies_;  // of the last answers, by op type
+  std::map<OpTypeId, Millis> usual_;                  // their upper quartile
   std::deque<Millis> short_latencies_;                // of the last answers of short work
   std::deque<std::pair<bool, Millis>> work_;          // of the last answers: whether long, latency
 };
