Idle client connections give way before clients run out of their part of the descriptors

The front ended idle connections only for a new one that came (Clients::make_room), and none could come. Ruled out: busy replies of the front (under 12 a second), processor time, stores.

Now a look round each 100 ms ends those idle for 2 s above a sixth of the descriptors, and any idle above a quarter.

--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -19,8 +19,9 @@
 // How long after it has come a client owes its first whole command: a little less than the time in which one
 // that sends what can't be read is owed a word. Later ones may write slowly, and so may they read.
 constexpr Millis kFirst = 2500, kOwed = 15000;
-// From when on an idle connection may be closed for another (the protocol's figure).
-constexpr Millis kKept = 2000;
+// From when on an idle connection may be closed for another (the protocol's figure), and how often that is
+// looked at: some twenty times in that time.
+constexpr Millis kKept = 2000, kLookRound = 100;
 // Statements in a row that do not read, after which a connection is ended: a client that errs will not get
 // better at full speed.
 constexpr int kFaultsInARow = 8;
@@ -62,6 +63,34 @@
   acceptor_.listen();
   acceptor_.non_blocking(true);
   accept();
+  look_round();
+}
+
+// Above a sixth of the descriptors, half of what clients may hold for ops, connections go that have been idle
+// for long, the longest first; above a quarter, any that is idle. Guards usual clients, who may hold no more
+// than their part, against those that ask once and stay: no new connection comes then, for which one would
+// have to give way.
+void Clients::look_round() {
+  const std::size_t kept = placement_.sockets / 6;
+  std::vector<Connected> idle;
+  const Millis long_ago =
+      clock_.now() - (connections_.size() - leaving_ > placement_.sockets / 4 ? kLookRound : kKept);
+  for (const Connected& connection : connections_)
+    if (connection->commanded && gives_way(*connection) && connection->since < long_ago)
+      idle.push_back(connection);
+  std::ranges::sort(idle, {}, [](const Connected& connection) { return connection->since; });
+  for (const Connected& connection : idle)
+    if (connections_.size() - leaving_ > kept) leave(*connection);
+  end_leaving();
+  look_ = timers_.set(clock_.now() + kLookRound, [this] { look_round(); });
+}
+
+// Nothing is owed on it by either side, and nothing is on its way into the front already.
+bool Clients::gives_way(Connection& connection) {
+  using State = Connection::State;
+  asio::error_code fault;
+  return (connection.state == State::starting || connection.state == State::idle) && !connection.writing &&
+         connection.socket.available(fault) == 0;
 }
 
 void Clients::be_ready() {
@@ -101,22 +130,22 @@
     judge(*connection);
     read(connection);
   }
-  // Those that are being ended have a share of their own; the first of them has had the most time to read.
-  if (leaving_ <= placement_.leaving_connections()) return;
-  give_back(**std::ranges::find(connections_, Connection::State::leaving, &Connection::state_of));
+  end_leaving();
+}
+
+// Those that are being ended have a share of their own; the first of them has had the most time to read.
+void Clients::end_leaving() {
+  while (leaving_ > placement_.leaving_connections())
+    give_back(**std::ranges::find(connections_, Connection::State::leaving, &Connection::state_of));
 }
 
 // Near the limit the connections go first that no usual client misses: one that has never sent anything, one
 // that has been idle or in mid-message longest. Guards usual clients against those that connect and keep
 // silent.
 bool Clients::make_room() {
-  using State = Connection::State;
   Connection *silent = nullptr, *idle = nullptr;
   for (const Connected& connection : connections_) {
-    // What is on its way into the front already is no idle connection's.
-    asio::error_code fault;
-    if (connection->writing || connection->socket.available(fault) > 0) continue;
-    if (connection->state != State::starting && connection->state != State::idle) continue;
+    if (!gives_way(*connection)) continue;
     if (!connection->commanded && connection->buffer.held().empty()) {
       if (!silent) silent = connection.get();
     } else if (!idle || connection->since < idle->since) {
@@ -381,6 +410,7 @@
 
 void Clients::stop() {
   timers_.drop(pause_);
+  timers_.drop(look_);
   timers_.drop(drain_);
   asio::error_code ignored;
   acceptor_.close(ignored);
--- a/src/front/clients.hpp
+++ b/src/front/clients.hpp
@@ -47,6 +47,9 @@
 
   void accept();
   void taken(asio::ip::tcp::socket socket);
+  void look_round();
+  void end_leaving();
+  static bool gives_way(Connection& connection);
   bool make_room();
   void judge(Connection& connection);
 
@@ -74,7 +77,7 @@
   std::size_t leaving_ = 0;  // of these, how many are being ended
   std::uint64_t last_op_ = 0;
   bool ready_ = false, draining_ = false, drained_ = false;
-  std::optional<Timers::Handle> pause_, drain_;
+  std::optional<Timers::Handle> pause_, drain_, look_;
 };
 
 }  // namespace reedspindle::front
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -194,7 +194,7 @@
     } else if (who == "crowd") {
       int count = 0, turned_away = 0;
       line >> count >> what >> turned_away;
-      crowd(count, turned_away);
+      crowd(count, what, turned_away);
     } else if (who == "peer") {
       line >> what;
       peer(what, remainder(line));
@@ -504,19 +504,21 @@
 
   // So many clients at once, who say nothing more, or each ask and stay: how many hear that there are too
   // many.
-  void crowd(int count, int turned_away) {
+  void crowd(int count, const std::string& way, int turned_away) {
     std::vector<Link> links;
     for (int i = 0; i < count; ++i) {
       links.push_back({connect_to(listen_), "", true, false, false, ""});
       std::string text = pgwire::startup("svc", "main");
-      if (turned_away > 0)
+      if (way == "stays") text += pgwire::query("SET a");
+      if (way == "asks")
         text += pgwire::query(
             fmt::format("SELECT v FROM records WHERE k = 'k' /* id=c{},c=look,d=9000,cluster=3 */", i));
       put(links.back().fd, text);
     }
-    const auto told = [&links] {
-      return std::ranges::count_if(
-          links, [](const Link& link) { return link.held.find("53300") != std::string::npos; });
+    const auto told = [&] {
+      return std::ranges::count_if(links, [&](const Link& link) {
+        return way == "stays" ? link.ended : link.held.find("53300") != std::string::npos;
+      });
     };
     if (turned_away > 0) {
       wait_for("so many to hear it", [&] {
