Read once more: one list of clients' message types, one way to split a name from its value

The types of the extended protocol stood in pgwire and again in clients, whose end for unknown types could be reached by one type only ('p', now told by its first byte like the others, with the same error); the split at the equals sign stood in the comment of a statement and in a store's report; the count of clients' connections that stay was worked out three times; ready() set a state that the next call set again.

--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -73,14 +73,13 @@
 void Clients::look_round() {
   const std::size_t kept = placement_.sockets / 6;
   std::vector<Connected> idle;
-  const Millis long_ago =
-      clock_.now() - (connections_.size() - leaving_ > placement_.sockets / 4 ? kLookRound : kKept);
+  const Millis long_ago = clock_.now() - (staying() > placement_.sockets / 4 ? kLookRound : kKept);
   for (const Connected& connection : connections_)
     if (connection->commanded && gives_way(*connection) && connection->since < long_ago)
       idle.push_back(connection);
   std::ranges::sort(idle, {}, [](const Connected& connection) { return connection->since; });
   for (const Connected& connection : idle)
-    if (connections_.size() - leaving_ > kept) leave(*connection);
+    if (staying() > kept) leave(*connection);
   end_leaving();
   look_ = timers_.set(clock_.now() + kLookRound, [this] { look_round(); });
 }
@@ -121,7 +120,7 @@
   socket.non_blocking(true, ignored);
   const auto connection = std::make_shared<Connection>(std::move(socket), allowance_);
   connection->since = clock_.now();
-  const bool room = connections_.size() - leaving_ < placement_.client_connections() || make_room();
+  const bool room = staying() < placement_.client_connections() || make_room();
   connection->place = connections_.insert(connections_.end(), connection);
   if (!room) {
     log_.warn("clients", "a connection beyond the clients' share of descriptors is turned away");
@@ -258,14 +257,10 @@
     if (end + 1 == message.body.size()) return asked(connection, message.body.substr(0, end));
     return end_with(connection, "08P01", "a query does not end with its text");
   }
-  if (message.type == 'F' || std::string_view("PBDECHdcf").find(message.type) != std::string_view::npos) {
-    // The extended protocol: passed over up to its Sync, as the protocol has it after an error.
-    connection.skipping = message.type != 'F';
-    write(connection, pgwire::error(pgwire::Severity::error, "0A000", "simple queries only") +
-                          (connection.skipping ? "" : pgwire::ready()));
-    return;
-  }
-  end_with(connection, "08P01", "an unknown type of message");
+  // The extended protocol: passed over up to its Sync, as the protocol has it after an error.
+  connection.skipping = message.type != 'F';
+  write(connection, pgwire::error(pgwire::Severity::error, "0A000", "simple queries only") +
+                        (connection.skipping ? "" : pgwire::ready()));
 }
 
 void Clients::asked(Connection& connection, std::string_view text) {
--- a/src/front/clients.hpp
+++ b/src/front/clients.hpp
@@ -49,10 +49,10 @@
   void taken(asio::ip::tcp::socket socket);
   void look_round();
   void end_leaving();
+  std::size_t staying() const { return connections_.size() - leaving_; }
   static bool gives_way(Connection& connection);
   bool make_room();
   void judge(Connection& connection);
-
   void cut_off(Connection& connection);
   void read(const Connected& connection);
   void go_on(Connection& connection);
--- a/src/front/members.cpp
+++ b/src/front/members.cpp
@@ -19,9 +19,8 @@
   while (!text.empty()) {
     const std::string_view item = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), item.size() + 1));
-    const std::size_t equals = std::min(item.find('='), item.size());
-    const std::string_view name = item.substr(0, equals);
-    const auto number = pgwire::number(item.substr(std::min(equals + 1, item.size())));
+    const auto [name, value] = pgwire::name_and_value(item);
+    const auto number = pgwire::number(value);
     if (!number) return;
     if (name == "x0") read.position = *number * 1000;
     if (name == "x1") read.role = *number > 0 ? Role::primary : Role::replica;
@@ -324,7 +323,6 @@
 void Members::ready(Connection& connection) {
   --connection.store.coming;
   timers_.drop(connection.limit);
-  connection.state = Connection::State::idle;
   Store& store = connection.store;
   if (store.waiting.empty() || outlived(connection)) return rest(connection);
   begin(connection, take_first(store));
--- a/src/front/pgwire.cpp
+++ b/src/front/pgwire.cpp
@@ -39,7 +39,7 @@
 using Longest = std::size_t (*)(char type);
 std::size_t longest_from_client(char type) {
   if (type == 'X' || type == 'S' || type == 'H' || type == 'c') return 4;
-  return std::string_view("QPBDECdfFp").find(type) != std::string_view::npos ? kLongestMessage : 0;
+  return std::string_view("QPBDECdfF").find(type) != std::string_view::npos ? kLongestMessage : 0;
 }
 std::size_t longest_from_store(char type) {
   constexpr std::size_t kShort = 64, kNamed = 512, kText = 8192;
@@ -91,6 +91,7 @@
          letter == '-' || letter == '_' || letter == '.' || letter == ':';
 }
 bool part_of_number(char letter) { return digit(letter) || letter == '.'; }
+bool printable(char letter) { return letter >= ' ' && letter <= '~'; }
 
 // Takes what stands at the front of a text.
 bool take(std::string_view& text, std::string_view exactly) {
@@ -106,6 +107,11 @@
 
 }  // namespace
 
+std::pair<std::string_view, std::string_view> name_and_value(std::string_view item) {
+  const std::size_t equals = std::min(item.find('='), item.size());
+  return {item.substr(0, equals), item.substr(std::min(equals + 1, item.size()))};
+}
+
 std::optional<double> number(std::string_view text) {
   double number = 0;
   return number_of(text, number) ? std::optional(number) : std::nullopt;
@@ -165,11 +171,10 @@
   for (bool more = true; more;) {
     const std::string_view item = take_up_to(rest, ',');
     more = take(rest, ",");
-    const std::size_t equals = std::min(item.find('='), item.size());
-    const auto known =
-        std::ranges::find(names, item.substr(0, equals), [](const auto& at) { return at.first; });
+    const auto [of, value] = name_and_value(item);
+    const auto known = std::ranges::find(names, of, [](const auto& at) { return at.first; });
     if (known == std::end(names)) return Fault{"22023", "an unknown name in the comment"};
-    const std::string_view value = item.substr(std::min(equals + 1, item.size()));
+
     if (!known->second->empty() || !name(value))
       return Fault{"22023", std::string(known->first) + " is there twice or does not read"};
     *known->second = value;
@@ -213,8 +218,7 @@
 
 bool read_tag(std::string_view body) {
   const auto text = take_text(body);
-  return text && !text->empty() && body.empty() &&
-         std::ranges::all_of(*text, [](char letter) { return letter >= ' ' && letter <= '~'; });
+  return text && !text->empty() && body.empty() && all_of(*text, printable);
 }
 
 std::optional<std::pair<std::string_view, std::string_view>> read_parameter(std::string_view body) {
--- a/src/front/pgwire.hpp
+++ b/src/front/pgwire.hpp
@@ -34,6 +34,9 @@
 enum class Startup { session, encryption, cancel, unknown };
 Startup startup_kind(const Message& message);
 
+// Of "name=value"; without the sign all of it is the name.
+std::pair<std::string_view, std::string_view> name_and_value(std::string_view item);
+
 // A finite number and nothing else.
 std::optional<double> number(std::string_view text);
 
