The module tells what it holds true of each member; shared links stand apart from the front

Need: a control service is to hand the module's judgement to other proxies without a second opinion of its own. Router::view tells primary, hindrance, warmth and, for each bound, the time up to which the design's tests hold; passes() goes by the same function. Discovery, stores, placement, time and log move to src/links, which the service shares.

--- a/src/front/clients.hpp
+++ b/src/front/clients.hpp
@@ -8,14 +8,16 @@
 #include <optional>
 #include <string>
 
-#include "front/buffer.hpp"
-#include "front/clock.hpp"
-#include "front/log.hpp"
-#include "front/pgwire.hpp"
-#include "front/placement.hpp"
+#include "links/buffer.hpp"
+#include "links/clock.hpp"
+#include "links/log.hpp"
+#include "links/pgwire.hpp"
+#include "links/placement.hpp"
 
 namespace reedspindle::front {
 
+using namespace links;
+
 class Clients {
  public:
   // Who owns the ops. An op that can't be taken is answered at once, which a fault says.
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -11,17 +11,19 @@
 #include <vector>
 
 #include "front/clients.hpp"
-#include "front/clock.hpp"
-#include "front/list.hpp"
-#include "front/log.hpp"
-#include "front/members.hpp"
 #include "front/peers.hpp"
-#include "front/pgwire.hpp"
-#include "front/placement.hpp"
+#include "links/clock.hpp"
+#include "links/list.hpp"
+#include "links/log.hpp"
+#include "links/members.hpp"
+#include "links/pgwire.hpp"
+#include "links/placement.hpp"
 #include "logic.hpp"
 
 namespace reedspindle::front {
 
+using namespace links;
+
 class Front : private Clients::Ops {
  public:
   // Throws Malformed where the placement is faulty.
--- a/src/front/peers.hpp
+++ b/src/front/peers.hpp
@@ -6,11 +6,13 @@
 #include <functional>
 #include <string>
 
-#include "front/log.hpp"
-#include "front/placement.hpp"
+#include "links/log.hpp"
+#include "links/placement.hpp"
 
 namespace reedspindle::front {
 
+using namespace links;
+
 class Peers {
  public:
   using Heard = std::function<void(int peer, std::string text)>;
--- a/src/front/clock.hpp
+++ b/src/links/clock.hpp
@@ -10,7 +10,7 @@
 
 #include "logic.hpp"
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 
 class Clock {
  public:
@@ -68,4 +68,4 @@
   std::map<Handle, std::function<void()>> due_;
 };
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/front/list.cpp
+++ b/src/links/list.cpp
@@ -1,4 +1,4 @@
-#include "front/list.hpp"
+#include "links/list.hpp"
 
 #include <fmt/format.h>
 
@@ -7,7 +7,7 @@
 
 #include "values.hpp"
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 namespace {
 
 using Json = nlohmann::json;
@@ -255,4 +255,4 @@
   if (watching_) again_ = timers_.set(clock_.now() + kNextCall, [this] { ask(); });
 }
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/front/list.hpp
+++ b/src/links/list.hpp
@@ -13,12 +13,12 @@
 #include <string>
 #include <vector>
 
-#include "front/buffer.hpp"
-#include "front/clock.hpp"
-#include "front/log.hpp"
-#include "front/placement.hpp"
+#include "links/buffer.hpp"
+#include "links/clock.hpp"
+#include "links/log.hpp"
+#include "links/placement.hpp"
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 
 struct ListedStore {
   ListedMember entry;
@@ -71,4 +71,4 @@
   std::optional<Timers::Handle> limit_, again_;
 };
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/front/log.cpp
+++ b/src/links/log.cpp
@@ -1,11 +1,11 @@
-#include "front/log.hpp"
+#include "links/log.hpp"
 
 #include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 namespace {
 constexpr Millis kSpan = 10000;          // in which a kind may write so many lines
 constexpr int kLinesPerSpan = 5;         // enough to see what it is and that it goes on
@@ -39,4 +39,4 @@
   }
 }
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/front/log.hpp
+++ b/src/links/log.hpp
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <utility>
 
-#include "front/clock.hpp"
+#include "links/clock.hpp"
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 
 class Log {
  public:
@@ -45,4 +45,4 @@
   int lost_ = 0;
 };
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/front/members.cpp
+++ b/src/links/members.cpp
@@ -1,9 +1,9 @@
-#include "front/members.hpp"
+#include "links/members.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 
 using Tcp = asio::ip::tcp;
 
@@ -454,4 +454,4 @@
   while (!connections_.empty()) give_back(*connections_.front());
 }
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/front/members.hpp
+++ b/src/links/members.hpp
@@ -11,14 +11,14 @@
 #include <string>
 #include <vector>
 
-#include "front/buffer.hpp"
-#include "front/clock.hpp"
-#include "front/list.hpp"
-#include "front/log.hpp"
-#include "front/pgwire.hpp"
-#include "front/placement.hpp"
+#include "links/buffer.hpp"
+#include "links/clock.hpp"
+#include "links/list.hpp"
+#include "links/log.hpp"
+#include "links/pgwire.hpp"
+#include "links/placement.hpp"
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 
 class Members {
  public:
@@ -87,4 +87,4 @@
   std::optional<Timers::Handle> sweep_;
 };
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/front/pgwire.cpp
+++ b/src/links/pgwire.cpp
@@ -1,11 +1,11 @@
-#include "front/pgwire.hpp"
+#include "links/pgwire.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdint>
 
-namespace reedspindle::front::pgwire {
+namespace reedspindle::links::pgwire {
 namespace {
 
 constexpr std::uint32_t kVersion3 = 196608, kCancel = 80877102, kSsl = 80877103, kGss = 80877104;
@@ -280,4 +280,4 @@
   return message('E', body);
 }
 
-}  // namespace reedspindle::front::pgwire
+}  // namespace reedspindle::links::pgwire
--- a/src/front/pgwire.hpp
+++ b/src/links/pgwire.hpp
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace reedspindle::front::pgwire {
+namespace reedspindle::links::pgwire {
 
 // Values are at most 64 KiB, twice that as hexadecimal digits; the rest of a statement is short.
 constexpr std::size_t kLongestValue = 64 * 1024, kLongestMessage = 2 * kLongestValue + 1024;
@@ -83,4 +83,4 @@
 std::string error(Severity severity, std::string_view code, std::string_view text,
                   std::string_view detail = "");
 
-}  // namespace reedspindle::front::pgwire
+}  // namespace reedspindle::links::pgwire
--- a/src/front/placement.cpp
+++ b/src/links/placement.cpp
@@ -1,4 +1,4 @@
-#include "front/placement.hpp"
+#include "links/placement.hpp"
 
 #include <fmt/format.h>
 
@@ -6,7 +6,7 @@
 
 #include "values.hpp"
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 namespace {
 
 using Json = nlohmann::json;
@@ -168,4 +168,4 @@
   return keys;
 }
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/front/placement.hpp
+++ b/src/links/placement.hpp
@@ -13,7 +13,7 @@
 
 #include "logic.hpp"
 
-namespace reedspindle::front {
+namespace reedspindle::links {
 
 // An op type as statements name it, and what its statements look like.
 struct NamedType {
@@ -72,4 +72,4 @@
 // The keys in which the second differs and which take effect at the next start only.
 std::vector<std::string> kept_until_restart(const Placement& running, const Placement& read);
 
-}  // namespace reedspindle::front
+}  // namespace reedspindle::links
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <numeric>
 #include <random>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -140,6 +141,31 @@
     return emit();
   }
 
+  // The same tests as an op's, told with the time up to which they hold.
+  std::vector<MemberView> view() const override {
+    std::set<Millis> bounds{kLagThreshold};
+    for (const OpType& type : catalog_.op_types)
+      if (type.needs == Needs::bounded) bounds.insert(type.bound);
+    std::vector<MemberView> views;
+    for (const auto& [id, member] : members_) {
+      MemberView& view = views.emplace_back(member.entry);
+      const auto group = groups_.find(member.entry.group);
+      view.primary = group != groups_.end() && primary_of(group->second) == &member;
+      view.hindrance = member.entry.state == MemberState::gone && bound_by_gone_ ? Hindrance::gone
+                       : !sendable(member)                                       ? Hindrance::drains
+                       : down(member)                                            ? Hindrance::down
+                       : !usable(member)                                         ? Hindrance::resting
+                                                                                 : Hindrance::none;
+      view.warmth = warmth(member);
+      if (member.samples.empty()) continue;
+      view.position = member.proven, view.sampled = member.samples.back().second;
+      for (const Millis bound : bounds)
+        if (const Millis until = passes_until(member, bound); now_ < until)
+          view.fresh.push_back({bound, until});
+    }
+    return views;
+  }
+
  private:
   Catalog catalog_;
   std::minstd_rand chance_;
@@ -525,9 +551,12 @@
 
   // The design's three tests.
   bool passes(const Member& member, const Op& op, const OpType& type) const {
-    if (member.samples.empty() || now_ - member.samples.back().second > kSampleAge) return false;
+    if (member.samples.empty()) return false;
     const Millis threshold = type.needs == Needs::bounded ? type.bound : kLagThreshold;
-    return now_ - member.proven < threshold - 1 && member.proven >= op.token;  // 1 ms to the cautious side
+    return now_ < passes_until(member, threshold) && member.proven >= op.token;
+  }
+  static Millis passes_until(const Member& member, Millis threshold) {  // 1 ms to the cautious side
+    return std::min(member.samples.back().second + kSampleAge, member.proven + threshold - 1);
   }
 
   // How far behind a replica may be at a time to do for an op.
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -161,11 +161,28 @@
 using Decision =
     std::variant<Send, CallOff, BusyReply, ErrorReply, Wake, Probe, WatchList, Forget, TellPeers, LogLine>;
 
+// What the module holds true of the members, for whoever hands its judgement on instead of sending by it.
+enum class Hindrance { none, drains, gone, down, resting };
+struct FreshFor {
+  Millis bound = 0;  // of the age of data
+  Millis until = 0;  // the member passes up to here, if nothing more is heard of it
+};
+struct MemberView {
+  ListedMember entry;  // as the list said last
+  bool primary = false;
+  Hindrance hindrance = Hindrance::none;
+  double warmth = 1;                   // the share of its capacity that it has at least
+  Millis position = -1, sampled = -1;  // the last sample; below 0: none
+  std::vector<FreshFor> fresh;  // for the bounds of the op types and for reads without one, smallest first
+};
+
 class Router {
  public:
   virtual ~Router() = default;
   virtual void note(const Event& event) = 0;
   virtual std::vector<Decision> settle(Millis now) = 0;
+  // As of the last settle; changes nothing. Members in the order of their ids.
+  virtual std::vector<MemberView> view() const = 0;
 };
 
 std::unique_ptr<Router> make_router(const Values& values, std::uint64_t seed);
--- a/tests/forms.cpp
+++ b/tests/forms.cpp
@@ -4,11 +4,11 @@
 #include <iostream>
 #include <string>
 
-#include "front/list.hpp"
-#include "front/pgwire.hpp"
+#include "links/list.hpp"
+#include "links/pgwire.hpp"
 
 namespace {
-namespace pgwire = reedspindle::front::pgwire;
+namespace pgwire = reedspindle::links::pgwire;
 using nlohmann::json;
 
 void print(const pgwire::Fault& fault) { std::cout << "  " << fault.code << ' ' << fault.text << '\n'; }
@@ -24,9 +24,9 @@
 }
 
 void list(const std::string& text) {
-  const reedspindle::front::Catalogue catalogue{{}, {{"a", {0}}, {"b", {1}}}, {{"m2", 1}}};
+  const reedspindle::links::Catalogue catalogue{{}, {{"a", {0}}, {"b", {1}}}, {{"m2", 1}}};
   try {
-    const auto list = reedspindle::front::read_list(json::parse(text), catalogue);
+    const auto list = reedspindle::links::read_list(json::parse(text), catalogue);
     std::cout << "  " << (list.kind == reedspindle::ListKind::complete ? "complete " : "changes ")
               << list.revision << '\n';
     const char* states[] = {"ready", "draining", "gone"};
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -27,11 +27,11 @@
 #include <variant>
 #include <vector>
 
-#include "front/pgwire.hpp"
+#include "links/pgwire.hpp"
 
 namespace {
 using Json = nlohmann::json;
-namespace pgwire = reedspindle::front::pgwire;
+namespace pgwire = reedspindle::links::pgwire;
 
 const char* const kPlacement = R"({"name": "n0", "seed": "5", "limits": {"sockets": 1024}, "settings": {
   "nInstances": 1, "quantum": 5000000,
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -60,6 +60,19 @@
   void operator()(const LogLine& d) const { std::cout << "  log " << d.text << '\n'; }
 };
 
+// What the module holds true as of the last settle: "view" prints it.
+void print(const std::vector<MemberView>& views) {
+  const char* const words[] = {"", " drains", " gone", " down", " resting"};
+  for (const MemberView& view : views) {
+    std::cout << "  " << view.entry.member.address << (view.primary ? " primary" : "")
+              << words[static_cast<int>(view.hindrance)];
+    if (view.warmth < 1) std::cout << " warm " << view.warmth;
+    if (view.position >= 0) std::cout << " at " << view.position << " seen " << view.sampled;
+    for (const FreshFor& fresh : view.fresh) std::cout << ", for " << fresh.bound << " until " << fresh.until;
+    std::cout << '\n';
+  }
+}
+
 Role role_of(const std::string& word) {
   return word == "primary" ? Role::primary : word == "replica" ? Role::replica : Role::unknown;
 }
@@ -158,6 +171,10 @@
         values[name] = word;
       continue;
     }
+    if (word == "view") {
+      print(router->view());
+      continue;
+    }
     if (!router) router = reedspindle::make_router(values, 7);
     if (word == "at") {  // "at 10000" settles what came before; events may follow on later lines
       double now = 0;
