--- /dev/null
+++ b/src/control/charge.cpp
@@ -0,0 +1,97 @@
+#include "control/charge.hpp"
+
+#include <fmt/format.h>
+
+#include <set>
+
+namespace reedspindle::control {
+namespace {
+using Json = nlohmann::json;
+}
+
+Charge charge_in(const operators::File& file, const std::string& name) {
+  std::vector<std::string> faults;
+  const auto fault = [&](const std::string& key, const std::string& text) {
+    const auto line = file.lines.find(key);
+    faults.push_back(
+        fmt::format("{}:{}: {}: {}", name, line == file.lines.end() ? 1 : line->second, key, text));
+  };
+  if (!file.values.contains("control")) {
+    fault("control", "is missing");
+    throw operators::Faulty(std::move(faults));
+  }
+  const Json& control = file.values["control"];
+  Charge charge;
+  charge.name = control["name"], charge.listen = control["listen"], charge.keep = control["keep"];
+  charge.placement.name = charge.name;
+  const auto discovery = links::endpoint_in(control["discovery"]);
+  if (discovery)
+    charge.placement.discovery = *discovery;
+  else
+    fault("control.discovery", "a numeric address and a port were expected");
+  if (!links::endpoint_in(charge.listen))
+    fault("control.listen", "a numeric address and a port were expected");
+  const Json& stores = file.values["stores"];
+  charge.placement.sockets = control["sockets"], charge.placement.memory = control["memory"];
+  charge.placement.seed = control["seed"];
+  charge.placement.list_is_asked = control["discovery-mode"] == "ask";
+  charge.placement.connect_time_out = stores["connect-time-out"];
+  charge.placement.connection_idle = stores["connection-idle"];
+
+  Values& values = charge.placement.values;
+  values = {{"instances", control["instances"].get<double>()},
+            {"tick", 5.0},
+            {"list", control["discovery-mode"].get<std::string>()},
+            {"allow.probes", 1.0},
+            {"allow.connect_time_out", stores["connect-time-out"].get<double>()},
+            {"rule.cold_from", stores["cold-from"].get<double>()},
+            {"rule.warm_within", stores["warm-within"].get<double>()},
+            {"rule.only_draining_binds", stores["only-draining-binds"].get<bool>() ? 1.0 : 0.0}};
+  const Json types = file.values.value("op-type", Json::array());
+  values["op_types"] = static_cast<double>(types.size());
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < types.size(); ++i) {
+    const Json& type = types[i];
+    const std::string at = fmt::format("op_type.{}.", i), key = fmt::format("op-type[{}]", i);
+    const std::string needs = type["needs"];
+    if (!names.insert(type["name"]).second) fault(key + ".name", "is there twice");
+    if ((needs == "bounded") != type.contains("bound"))
+      fault(key, needs == "bounded" ? "bound is missing" : "bound goes with needs bounded alone");
+    values[at + "needs"] = needs, values[at + "effect"] = type["effect"].get<std::string>();
+    values[at + "latency_target"] = type["latency-target"].get<double>();
+    values[at + "op_timeout"] = type["op-timeout"].get<double>();
+    values[at + "bound"] = type.value("bound", 0.0);
+    using Needs = RoutedType::Needs;
+    charge.types.push_back({type["name"],
+                            needs == "any"       ? Needs::any
+                            : needs == "bounded" ? Needs::bounded
+                            : needs == "session" ? Needs::session
+                                                 : Needs::primary,
+                            type.value("bound", 0.0)});
+  }
+  const Json& roster = control["roster"];
+  charge.roster = {roster["confirm"], roster["largest-loss"], roster["older-list"]};
+  charge.first_answer = roster["first-answer"];
+  const Json& leases = control["leases"];
+  charge.leases = {leases["transit"], leases["clocks"], leases["least"]};
+  const Json& proxies = control["proxies"];
+  charge.streams.streams = proxies["most"], charge.streams.names = proxies["names"];
+  charge.streams.name_length = proxies["name-length"], charge.streams.unread = proxies["unread"];
+  charge.streams.behind = proxies["behind"], charge.streams.transit = leases["transit"];
+  charge.keepalive = proxies["keepalive"];
+  if (control.contains("tls"))
+    charge.tls =
+        Tls{control["tls"]["certificate"], control["tls"]["key"], control["tls"].value("proxies", "")};
+  const Json& log = file.values["log"];
+  charge.log_form = log["form"] == "json" ? links::LogForm::json : links::LogForm::text;
+  const std::string level = log["level"];
+  charge.log_level = level == "debug"  ? links::LogLevel::debug
+                     : level == "info" ? links::LogLevel::info
+                     : level == "warn" ? links::LogLevel::warn
+                                       : links::LogLevel::error;
+  charge.lines_of_a_kind = log["lines-of-a-kind"];
+  if (!faults.empty()) throw operators::Faulty(std::move(faults));
+  return charge;
+}
+
+}  // namespace reedspindle::control
--- /dev/null
+++ b/src/control/offer.hpp
@@ -0,0 +1,148 @@
+// What is handed out: the module's view of the members, as resources for proxies. Free of I/O and of the
+// protocol's own words. One Offer for each set of abilities that proxies have; resources are shared and never
+// change once made.
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "control/roster.hpp"
+#include "logic.hpp"
+
+namespace reedspindle::control {
+
+// In the order in which a proxy that takes everything has to have them: make before break.
+enum class Kind { clusters, endpoints, listeners, routes };
+constexpr std::size_t kKinds = 4;
+
+// How a proxy gives up what it was handed when nothing more is heard of us: not at all, a resource after its
+// time to live, or an endpoint at a stated time.
+enum class Expiry { none, time_to_live, stated };
+
+struct Abilities {
+  Expiry expiry = Expiry::none;
+  bool weighs = false;  // goes by endpoints' weights
+  bool tokens = false;  // tests endpoints' positions against sessions' tokens itself
+  auto operator<=>(const Abilities&) const = default;
+};
+
+enum class Standing { healthy, draining, out };
+
+struct Endpoint {
+  MemberId member;
+  std::string address, zone;
+  Standing standing = Standing::healthy;
+  Hindrance hindrance = Hindrance::none;
+  bool primary = false;
+  int rank = 0;                      // endpoints of the next rank only where those before are not there
+  std::uint32_t weight = 100;        // 100 for one that is warm and of the usual size
+  Millis position = -1, until = -1;  // below 0: not told, or not bound to a time
+  // What matters to who is sent to; positions and times move all the while.
+  bool same(const Endpoint& other) const;
+};
+
+struct Assignment {
+  std::vector<Endpoint> endpoints;
+};
+// Where the endpoints come from: an assignment of the same name, or other clusters one after the other.
+struct Cluster {
+  GroupId group;
+  std::vector<std::string> others;
+  bool operator==(const Cluster&) const = default;
+};
+struct Listener {
+  std::string routes;
+  bool operator==(const Listener&) const = default;
+};
+struct Route {
+  GroupId group;
+  std::string op_type, cluster;
+  bool operator==(const Route&) const = default;
+};
+struct Routes {
+  std::vector<Route> routes;
+  bool operator==(const Routes&) const = default;
+};
+
+struct Resource {
+  Kind kind = Kind::clusters;
+  std::string name;
+  std::uint64_t version = 0;  // rises with every change; no two resources share one
+  std::uint64_t revoked = 0;  // the last version that took an endpoint away
+  long long revision = 0;     // of the list it was made from
+  Millis made = 0;
+  Millis until = -1;  // below 0: holds until another comes
+  std::variant<Cluster, Assignment, Listener, Routes> body;
+};
+using Held = std::shared_ptr<const Resource>;
+
+struct Offer {
+  bool ready = false;      // not before that is anything handed out
+  long long revision = 0;  // of the list it stands on
+  Abilities abilities;
+  std::array<std::map<std::string, Held>, kKinds> resources;
+  std::array<std::uint64_t, kKinds> versions{};  // the last change of each kind, removals too
+  std::set<std::string> withheld;  // assignments that there are, of which nothing can be told now
+};
+
+// An op type as routes name it.
+struct RoutedType {
+  std::string name;
+  enum class Needs { any, bounded, session, primary } needs = Needs::primary;
+  Millis bound = 0;
+};
+
+constexpr const char* kRoutes = "reedspindle";  // the name of the one listener and of its routes
+
+class Offering {
+ public:
+  struct Leases {
+    Millis transit = 100, clocks = 10, least = 250;
+  };
+
+  Offering(std::vector<RoutedType> types, Leases leases, Millis first_answer);
+
+  // The offers for those abilities as of now; what has not changed is the same resource as before. Called
+  // after every settle of the module.
+  std::map<Abilities, std::shared_ptr<const Offer>> make(const std::vector<MemberView>& views,
+                                                         const Roster& roster,
+                                                         const std::set<Abilities>& wanted, Millis now);
+
+  // Whether anything has been offered as ready since the start.
+  bool ready() const { return ready_; }
+
+ private:
+  struct Group {
+    std::vector<const MemberView*> members;
+    const MemberView* primary = nullptr;
+  };
+  struct Made;  // an offer in the making
+
+  void judge_ready(const std::map<GroupId, Group>& groups, const Roster& roster, Millis now);
+  void hand_out(Made& made, GroupId id, const Group& group) const;
+  Endpoint endpoint_of(const MemberView& view, const Roster& roster) const;
+  std::vector<Endpoint> replicas(const Made& made, const Group& group, const RoutedType& type,
+                                 const std::string& name) const;
+  void put(Made& made, Kind kind, const std::string& name, decltype(Resource::body) body) const;
+  void put_assignment(Made& made, const std::string& name, std::vector<Endpoint> endpoints) const;
+  bool put_as_draining(Made& made, const std::string& name) const;
+  void see_off(Made& made, const std::map<GroupId, Group>& groups);
+
+  const std::vector<RoutedType> types_;
+  const Leases leases_;
+  const Millis first_answer_;
+  mutable std::uint64_t last_version_ = 0;
+  bool ready_ = false;
+  Millis known_since_ = -1;
+  std::map<GroupId, Millis> ended_;  // groups without a member, and since when
+  std::map<Abilities, std::shared_ptr<const Offer>> last_;
+};
+
+}  // namespace reedspindle::control
--- /dev/null
+++ b/src/control/server.hpp
@@ -0,0 +1,47 @@
+// The streams on gRPC: messages in, responses out, on gRPC's own threads; everything is handed over to the
+// service's loop, which alone decides. One message in hand for each stream in either direction.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "control/charge.hpp"
+#include "control/streams.hpp"
+#include "control/xds.hpp"
+
+namespace reedspindle::control {
+
+// What a stream brings; called on the loop.
+struct Hearer {
+  virtual ~Hearer() = default;
+  // The first message of a stream. False: it is not taken.
+  virtual bool opened(StreamId id, Form form, Abilities abilities, const std::string& node) = 0;
+  virtual void heard(StreamId id, Heard heard) = 0;
+  virtual void written(StreamId id) = 0;
+  virtual void closed(StreamId id) = 0;
+};
+
+class Server {
+ public:
+  // Throws std::runtime_error where it can't listen.
+  Server(asio::io_context& loop, const Charge& charge, Hearer& hearer);
+  ~Server();
+
+  // On the loop.
+  void write(StreamId id, xds::discovery::DiscoveryResponse response);
+  void write(StreamId id, xds::discovery::DeltaDiscoveryResponse response);
+  void end(StreamId id, const std::string& why);
+  // Ends all streams; the loop has to run on until stopped.
+  void stop();
+  bool stopped() const;
+  int port() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace reedspindle::control
--- /dev/null
+++ b/src/control/service.cpp
@@ -0,0 +1,268 @@
+#include "control/service.hpp"
+
+#include <csignal>
+#include <utility>
+
+#include "control/kept.hpp"
+#include "values.hpp"
+
+namespace reedspindle::control {
+namespace {
+
+constexpr int kOfOneTurn = 64;            // callbacks before the module is asked, as in the front
+constexpr Millis kKeepAgain = 1000;       // after the disk has reported a fault
+constexpr Millis kReport = 60000;         // between lines that tell how it goes
+constexpr std::size_t kShownOfNode = 64;  // of what a proxy calls itself
+
+RosterList roster_list(const links::StoreList& list) {
+  RosterList told{list.kind, list.revision, {}};
+  for (const links::ListedStore& store : list.stores)
+    told.members.push_back({store.entry, links::text_of(store.endpoint), store.zone});
+  return told;
+}
+
+const char* word_of(Doubt doubt) {
+  constexpr const char* words[] = {"none", "it is empty", "it has lost much at once",
+                                   "its revision is older"};
+  return words[static_cast<int>(doubt)];
+}
+
+}  // namespace
+
+Service::Service(Charge charge)
+    : charge_(std::move(charge)),
+      log_(clock_),
+      io_(1),
+      timers_(io_, clock_),
+      signals_(io_, SIGTERM, SIGINT),
+      disk_(charge_.keep),
+      store_(disk_),
+      roster_(charge_.roster),
+      epoch_(start_roster()),
+      router_(make_router(charge_.placement.values, charge_.placement.seed)),
+      offering_(charge_.types, charge_.leases, charge_.first_answer),
+      streams_(charge_.streams, charge_.name, epoch_),
+      encoder_(charge_.name, epoch_),
+      members_(
+          io_, timers_, clock_, log_, charge_.placement, [](SendEnded, std::string) {},
+          [this](ProbeEnded ended) {
+            router_->note(std::move(ended));
+            due_ = true;
+          }),
+      list_(io_, timers_, clock_, log_, charge_.placement,
+            [this](links::StoreList list) { list_read(std::move(list)); }),
+      keeper_(store_, [this](std::string fault) { asio::post(io_, [this, fault] { kept(fault); }); }),
+      server_(io_, charge_, *this) {}
+
+// The roster as the store held it, kept again at once under the number of this start. Guards against versions
+// that go back: a generation's number is never given twice, whatever of its content is damaged.
+std::uint64_t Service::start_roster() {
+  log_.be(charge_.log_form, charge_.log_level, charge_.lines_of_a_kind);
+  const keep::Loaded loaded = store_.load();
+  for (const keep::Damage& damage : loaded.damaged)
+    log_.error("keep", "damaged", {{"file", damage.name}, {"why", damage.why}});
+  if (loaded.state) {
+    try {
+      roster_.restore(kept_in(*loaded.state));
+      log_.info("keep", "roster found",
+                {{"generation", loaded.generation},
+                 {"revision", roster_.revision()},
+                 {"members", roster_.members().size()}});
+    } catch (const Malformed& fault) {
+      log_.error("keep", "roster unreadable", {{"generation", loaded.generation}, {"why", fault.what()}});
+    }
+  } else if (loaded.damaged.empty()) {
+    log_.info("keep", "first start", {{"folder", charge_.keep}});
+  }
+  kept_ = text_of(roster_.kept());
+  return store_.save(kept_);
+}
+
+void Service::run() {
+  hear_signals();
+  if (roster_.known()) tell_module();
+  if (!charge_.placement.list_is_asked) list_.watch();
+  log_.info("control", "listens",
+            {{"name", charge_.name}, {"at", charge_.listen}, {"port", server_.port()}, {"epoch", epoch_}});
+  report();
+  while (!server_.stopped()) {
+    if (!due_) io_.run_one();
+    for (int taken = 0; taken < kOfOneTurn && io_.poll_one() > 0; ++taken) continue;
+    if (std::exchange(due_, false) && !stopping_) settle();
+    log_.flush();
+  }
+  log_.info("control", "stops", {{"name", charge_.name}});
+  list_.stop();
+  members_.stop();
+}
+
+void Service::list_read(links::StoreList list) {
+  if (list.kind == ListKind::failed) {
+    router_->note(ListRead{ListKind::failed, {}});
+    due_ = true;
+    return;
+  }
+  const auto out = roster_.take(roster_list(list), clock_.now());
+  for (const MemberId& member : out)
+    log_.info("drains", "drains or is gone", {{"member", member.address}, {"revision", list.revision}});
+  if (const Doubt doubt = roster_.doubt(); doubt != told_doubt_) {
+    told_doubt_ = doubt;
+    if (doubt != Doubt::none)
+      log_.warn("roster", "list in doubt, the roster is held",
+                {{"why", word_of(doubt)},
+                 {"revision", list.revision},
+                 {"listed", list.stores.size()},
+                 {"held", roster_.members().size()}});
+    else
+      log_.info("roster", "list believed",
+                {{"revision", list.revision}, {"members", roster_.members().size()}});
+  }
+  tell_module();
+}
+
+// The module and the links to stores go by the roster, never by a list that is in doubt.
+void Service::tell_module() {
+  links::StoreList list{ListKind::complete, roster_.revision(), {}};
+  for (const auto& [id, entry] : roster_.members())
+    if (const auto endpoint = links::endpoint_in(entry.endpoint))
+      list.stores.push_back({entry.listed, entry.zone, *endpoint});
+  members_.learn(list);
+  router_->note(roster_.read());
+  due_ = true;
+}
+
+void Service::settle() {
+  const Millis now = clock_.now();
+  if (const auto ask = roster_.ask_at(); ask && now >= *ask) {
+    roster_.asked(now);
+    list_.ask_whole();
+  }
+  for (const Decision& decision : router_->settle(now))
+    std::visit([this](const auto& taken) { carry_out(taken); }, decision);
+  hand_out(now);
+  // After what was handed out: proxies that know a newer list than a service does are left with it, so a
+  // crash in between brings nothing back.
+  keep_roster();
+}
+
+void Service::hand_out(Millis now) {
+  streams_.offer(offering_.make(router_->view(), roster_, streams_.abilities(), now));
+  if (!was_ready_ && offering_.ready()) {
+    was_ready_ = true;
+    log_.info("control", "hands out",
+              {{"members", roster_.members().size()}, {"revision", roster_.revision()}});
+  }
+  for (const Act& act : streams_.settle(now))
+    std::visit([this](const auto& taken) { carry_out(taken); }, act);
+  // Leases run out and rosters are asked for by time alone; the module wakes for its probes, which is
+  // oftener.
+  if (const Millis due = streams_.due(); due >= 0) wake_at(due);
+  if (const auto ask = roster_.ask_at()) wake_at(*ask);
+}
+
+void Service::wake_at(Millis at) {
+  if (wake_ && wake_time_ <= at) return;
+  timers_.drop(wake_);
+  wake_time_ = at;
+  wake_ = timers_.set(at, [this] {
+    wake_.reset();
+    due_ = true;
+  });
+}
+
+void Service::keep_roster() {
+  std::string text = text_of(roster_.kept());
+  if (text == kept_) return;
+  kept_ = text;
+  keeper_.keep(std::move(text));
+}
+
+void Service::kept(const std::string& fault) {
+  if (fault.empty()) return;
+  log_.error("keep", "not kept, tried again", {{"why", fault}});
+  timers_.set(clock_.now() + kKeepAgain, [this] { keeper_.keep(kept_); });
+}
+
+void Service::hear_signals() {
+  signals_.async_wait([this](const asio::error_code& fault, int signal) {
+    if (fault) return;
+    log_.info("control", "told to stop", {{"signal", signal}});
+    if (!std::exchange(stopping_, true)) server_.stop();
+    hear_signals();
+  });
+}
+
+void Service::report() {
+  const Streams::Counts& counts = streams_.counts();
+  log_.info("control", "state",
+            {{"streams", streams_.size()},
+             {"members", roster_.members().size()},
+             {"revision", roster_.revision()},
+             {"responses", counts.responses},
+             {"urgent", counts.urgent},
+             {"taken", counts.taken},
+             {"turned_down", counts.turned_down},
+             {"stale_nonces", counts.stale_nonces},
+             {"ended", counts.ended}});
+  timers_.set(clock_.now() + kReport, [this] { report(); });
+}
+
+bool Service::opened(StreamId id, Form form, Abilities abilities, const std::string& node) {
+  if (stopping_ || !streams_.open(id, form, abilities, clock_.now())) {
+    log_.warn("proxies", "not taken", {{"node", node.substr(0, kShownOfNode)}, {"open", streams_.size()}});
+    return false;
+  }
+  proxies_[id] = {form, node.substr(0, kShownOfNode)};
+  log_.debug("proxies", "opened", {{"node", proxies_[id].node}, {"stream", id.number}});
+  due_ = true;
+  return true;
+}
+
+void Service::heard(StreamId id, Heard heard) {
+  streams_.hear(id, std::move(heard), clock_.now());
+  due_ = true;
+}
+
+void Service::written(StreamId id) {
+  streams_.written(id, clock_.now());
+  due_ = true;
+}
+
+void Service::closed(StreamId id) {
+  streams_.close(id);
+  proxies_.erase(id);
+  due_ = true;
+}
+
+void Service::carry_out(const Probe& decision) { members_.probe(decision.member, decision.time_out); }
+void Service::carry_out(const Wake& decision) {
+  timers_.set(decision.at, [this, timer = decision.timer] {
+    router_->note(TimerDue{timer});
+    due_ = true;
+  });
+}
+void Service::carry_out(const WatchList&) { list_.watch(); }
+void Service::carry_out(const Forget& decision) { members_.forget(decision.member); }
+void Service::carry_out(const LogLine& decision) { log_.info("decisions", decision.text); }
+
+void Service::carry_out(const Write& write) {
+  const auto proxy = proxies_.find(write.stream);
+  if (proxy == proxies_.end()) return;
+  if (proxy->second.form == Form::whole)
+    server_.write(write.stream, encoder_.whole(write));
+  else
+    server_.write(write.stream, encoder_.changes(write));
+}
+
+void Service::carry_out(const End& end) {
+  log_.warn("proxies", "let go", {{"node", proxies_[end.stream].node}, {"why", end.why}});
+  server_.end(end.stream, end.why);
+}
+
+void Service::carry_out(const Notice& notice) {
+  const auto proxy = proxies_.find(notice.stream);
+  log_.warn("proxies", notice.event,
+            {{"node", proxy == proxies_.end() ? "" : proxy->second.node}, {"why", notice.detail}});
+}
+
+}  // namespace reedspindle::control
--- /dev/null
+++ b/src/control/streams.cpp
@@ -0,0 +1,411 @@
+#include "control/streams.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <tuple>
+#include <utility>
+
+namespace reedspindle::control {
+namespace {
+
+// Assignments in one response. Guards against a drain that waits behind one huge response: the largest takes
+// about as long as a small one does.
+constexpr std::size_t kOfOneResponse = 64;
+// Responses of one turn, after those that take something away: what is left waits for the next turn.
+constexpr std::size_t kOfOneTurn = 256;
+// Responses of a kind that a proxy may owe an answer to. One in the ordinary course; more only while each
+// takes something away.
+constexpr std::size_t kUnanswered = 8;
+// After a response was turned down the next ordinary one waits so long, twice as long each time.
+constexpr Millis kFirstPause = 1000, kLongestPause = 60000;
+// A proxy that took longer than a lease allows for is not trusted with leases for so long.
+constexpr Millis kDistrust = 30000;
+constexpr std::size_t kLongestReason = 512;
+
+bool whole_state(Kind kind) { return kind == Kind::clusters || kind == Kind::listeners; }
+
+std::set<std::string> clusters_in(const Resource& resource) {
+  std::set<std::string> names;
+  if (const auto* routes = std::get_if<Routes>(&resource.body))
+    for (const Route& route : routes->routes) names.insert(route.cluster);
+  return names;
+}
+
+}  // namespace
+
+std::string text_of(const Version& version) {
+  return fmt::format("r{}.e{}.c{}.{}", version.revision, version.epoch, version.change, version.service);
+}
+
+std::optional<Version> version_in(const std::string& text) {
+  Version version;
+  const char* at = text.data();
+  const char* const end = at + text.size();
+  const auto number = [&](char letter, auto& into) {
+    if (at == end || *at++ != letter) return false;
+    const auto [next, fault] = std::from_chars(at, end, into);
+    if (fault != std::errc() || next == end || *next != '.') return false;
+    at = next + 1;
+    return true;
+  };
+  if (!number('r', version.revision) || !number('e', version.epoch) || !number('c', version.change))
+    return std::nullopt;
+  if (at == end || version.revision < 0) return std::nullopt;
+  version.service.assign(at, end);
+  return version;
+}
+
+Streams::Streams(Bounds bounds, std::string service, std::uint64_t epoch)
+    : bounds_(bounds), service_(std::move(service)), epoch_(epoch) {}
+
+bool Streams::open(StreamId id, Form form, Abilities abilities, Millis now) {
+  if (streams_.size() >= bounds_.streams) return false;
+  Stream& stream = streams_[id];
+  stream.form = form, stream.abilities = stream.can = abilities, stream.opened = now;
+  return true;
+}
+
+void Streams::close(StreamId id) {
+  if (streams_.erase(id) > 0) ++counts_.ended;
+}
+
+void Streams::written(StreamId id, Millis) {
+  const auto found = streams_.find(id);
+  if (found == streams_.end()) return;
+  found->second.writing = false, found->second.dirty = true;
+}
+
+std::set<Abilities> Streams::abilities() const {
+  std::set<Abilities> all;
+  for (const auto& [id, stream] : streams_) all.insert(stream.abilities);
+  return all;
+}
+
+void Streams::offer(std::map<Abilities, std::shared_ptr<const Offer>> offers) {
+  for (auto& [id, stream] : streams_) {
+    const auto was = offers_.find(stream.abilities), is = offers.find(stream.abilities);
+    if (was == offers_.end() || is == offers.end() || was->second != is->second) stream.dirty = true;
+  }
+  offers_ = std::move(offers);
+}
+
+const Offer* Streams::offer_for(const Stream& stream) const {
+  const auto found = offers_.find(stream.abilities);
+  return found == offers_.end() || !found->second->ready ? nullptr : found->second.get();
+}
+
+void Streams::hear(StreamId id, Heard heard, Millis now) {
+  const auto found = streams_.find(id);
+  if (found == streams_.end() || found->second.end) return;
+  Stream& stream = found->second;
+  OfKind& kind = of(stream, heard.kind);
+  stream.dirty = true;
+  for (const auto* names : {&heard.names, &heard.no_more})
+    for (const std::string& name : *names)
+      if (name.empty() || name.size() > bounds_.name_length)
+        return void(stream.end = fmt::format("a name of {} bytes", name.size()));
+  if (!kind.asked || heard.nonce.empty()) {
+    if (const auto version = version_in(heard.version))
+      stream.must_reach = std::max(stream.must_reach, version->revision);
+  }
+  if (!heard.nonce.empty()) {
+    const bool out = std::ranges::any_of(kind.out, [&](const Response& r) { return r.nonce == heard.nonce; });
+    // An answer to what has been answered already, or to another stream's response, says nothing of ours. In
+    // the whole form neither does what it asks for: its answer to the newer response will say that again.
+    if (!out && heard.nonce != kind.last_nonce) {
+      ++counts_.stale_nonces;
+      if (stream.form == Form::whole) return;
+    }
+    if (out) answered(id, stream, kind, heard, now);
+  }
+  if (stream.form == Form::changes) come_with(stream, kind, heard);
+  ask(stream, kind, heard);
+}
+
+// A proxy answers responses in the order they came; an answer stands for those before, too.
+void Streams::answered(StreamId id, Stream& stream, OfKind& kind, const Heard& heard, Millis now) {
+  for (bool last = false; !last && !kind.out.empty(); kind.out.pop_front()) {
+    const Response& response = kind.out.front();
+    last = response.nonce == heard.nonce;
+    if (response.leased) trust(stream, now - response.at, now);
+    const bool taken = !last || !heard.turned_down;
+    taken ? ++counts_.taken : ++counts_.turned_down;
+    for (const auto& [name, held] : response.sent) {
+      const auto has = kind.has.find(name);
+      if (has == kind.has.end()) continue;
+      if (taken) {
+        has->second.taken = held;
+      } else {
+        has->second.turned_down = held->version;
+        if (has->second.sent == held) has->second.sent = has->second.taken;
+      }
+    }
+    if (taken && !last) continue;
+    kind.pause = taken ? 0 : std::clamp(kind.pause * 2, kFirstPause, kLongestPause);
+    kind.pause_until = taken ? 0 : now + kind.pause;
+    if (!taken) notices_.push_back({id, "turned down", heard.turned_down->substr(0, kLongestReason)});
+  }
+}
+
+// Guards against data that grows old on its way: a response that took longer to be answered than leases allow
+// for shows a path on which a time to live begins too late. Harm: a proxy that is slow to answer, though it
+// reads at once, sends its reads to the primary for a while.
+void Streams::trust(Stream& stream, Millis took, Millis now) {
+  if (took <= bounds_.transit) return;
+  if (stream.can.expiry == Expiry::time_to_live) stream.distrusted_until = now + kDistrust;
+}
+
+void Streams::ask(Stream& stream, OfKind& kind, const Heard& heard) {
+  const bool first = !std::exchange(kind.asked, true);
+  if (stream.form == Form::whole) {
+    std::set<std::string> names(heard.names.begin(), heard.names.end());
+    // No names at first: everything, as long as none are named. "*" says so in words.
+    kind.all = names.erase("*") > 0 || (names.empty() && (first || kind.all));
+    stream.name_count += names.size() - kind.names.size();
+    // What is asked for again after it was not is to be sent again.
+    std::erase_if(kind.has, [&](const auto& item) { return !kind.all && !names.contains(item.first); });
+    kind.names = std::move(names);
+  } else {
+    if (first && heard.names.empty()) kind.all = true;
+    for (const std::string& name : heard.names) {
+      if (name == "*") {
+        kind.all = true;
+        continue;
+      }
+      stream.name_count += kind.names.insert(name).second;
+      kind.told_missing.erase(name);
+      // Asked for again: it is told again, unless it came with it.
+      if (!first) kind.has.erase(name);
+    }
+    for (const std::string& name : heard.no_more) {
+      if (name == "*") kind.all = false;
+      stream.name_count -= kind.names.erase(name);
+      if (!kind.all) kind.has.erase(name), kind.told_missing.erase(name);
+    }
+    if (!kind.all)
+      std::erase_if(kind.has, [&](const auto& item) { return !kind.names.contains(item.first); });
+  }
+  if (stream.name_count > bounds_.names) stream.end = fmt::format("more than {} names", bounds_.names);
+}
+
+// What a proxy brings from another stream counts as taken where it is ours and the newest; what we don't know
+// is remembered, so that it is told when that is gone.
+void Streams::come_with(Stream& stream, OfKind& kind, const Heard& heard) {
+  if (kind.asked || heard.holds.empty()) return;
+  const Offer* offer = offer_for(stream);
+  std::size_t counted = 0;
+  for (const auto& [name, text] : heard.holds) {
+    if (name.size() > bounds_.name_length || ++counted > bounds_.names)
+      return void(stream.end = "it comes with too much");
+    const auto version = version_in(text);
+    if (!version) continue;
+    stream.must_reach = std::max(stream.must_reach, version->revision);
+    Has& has = kind.has[name];
+    if (!offer) continue;
+    const auto& resources = offer->resources[static_cast<std::size_t>(heard.kind)];
+    const auto known = resources.find(name);
+    if (known != resources.end() && version_of(*known->second) == text && known->second->until < 0)
+      has.sent = has.taken = known->second;
+  }
+}
+
+std::string Streams::version_of(const Resource& resource) const {
+  return text_of({resource.revision, epoch_, resource.version, service_});
+}
+
+// What the proxy is to have of a kind.
+std::map<std::string, Held> Streams::wanted(const Stream& stream, Kind kind, const Offer& offer) const {
+  const OfKind& of_kind = of(stream, kind);
+  const auto& resources = offer.resources[static_cast<std::size_t>(kind)];
+  std::map<std::string, Held> wanted;
+  if (of_kind.all) wanted = resources;
+  for (const std::string& name : of_kind.names)
+    if (const auto found = resources.find(name); found != resources.end()) wanted.insert(*found);
+  if (kind == Kind::clusters && of_kind.all) {
+    // Break only after make: a cluster that routes still lead to, as far as the proxy has taken, stays.
+    for (const auto& [name, has] : of(stream, Kind::routes).has)
+      for (const Held& held : {has.sent, has.taken})
+        if (held)
+          for (const std::string& cluster : clusters_in(*held))
+            if (const auto kept = of_kind.has.find(cluster); kept != of_kind.has.end() && kept->second.sent)
+              wanted.try_emplace(cluster, kept->second.sent);
+  }
+  return wanted;
+}
+
+// Make before break: routes wait until the proxy has taken the clusters they lead to, and what stands in
+// those. Only for proxies that take every cluster there is; others ask for clusters when they have seen the
+// routes.
+bool Streams::waits_for_clusters(const Stream& stream, const Offer& offer) const {
+  const OfKind& clusters = of(stream, Kind::clusters);
+  const OfKind& endpoints = of(stream, Kind::endpoints);
+  if (!clusters.asked || !clusters.all) return false;
+  for (const auto& [name, routes] : offer.resources[static_cast<std::size_t>(Kind::routes)])
+    for (const std::string& cluster : clusters_in(*routes)) {
+      const auto has = clusters.has.find(cluster);
+      if (has == clusters.has.end() || !has->second.taken) return true;
+      const auto of_cluster = endpoints.has.find(cluster);
+      const bool asked = endpoints.names.contains(cluster);
+      if (asked && !offer.withheld.contains(cluster) &&
+          (of_cluster == endpoints.has.end() || !of_cluster->second.taken))
+        return true;
+    }
+  return false;
+}
+
+std::optional<Write> Streams::difference(StreamId id, Stream& stream, Kind kind, const Offer& offer,
+                                         bool urgent_only, Millis now) {
+  OfKind& has = of(stream, kind);
+  if (!has.asked || has.out.size() >= (urgent_only ? kUnanswered : 1)) return std::nullopt;
+  if (!urgent_only && kind == Kind::routes && waits_for_clusters(stream, offer)) return std::nullopt;
+  const std::map<std::string, Held> wants = wanted(stream, kind, offer);
+  Write write{id, kind, {}, {}, {}, {}, false};
+  const bool full = stream.form == Form::whole && whole_state(kind);
+  bool differs = false, changed = false;
+  std::vector<Write::Item> renewals;
+  for (const auto& [name, held] : wants) {
+    const auto found = has.has.find(name);
+    const Has* of_name = found == has.has.end() ? nullptr : &found->second;
+    const Held sent = of_name ? of_name->sent : nullptr;
+    const Millis left = held->until < 0 ? -1 : held->until - now;
+    const bool leased = stream.abilities.expiry == Expiry::time_to_live && held->until >= 0;
+    const Millis time_to_live = leased ? std::max(1.0, left - bounds_.transit) : -1;
+    if (sent && sent->version == held->version) {
+      if (full) write.items.push_back({held, time_to_live, true});
+      if (!full && leased && held->until > sent->until) renewals.push_back({held, time_to_live, false});
+      continue;
+    }
+    // It has been turned down as it is; only another one is tried.
+    if (of_name && of_name->turned_down == held->version && !full) continue;
+    const bool urgent = kind == Kind::endpoints && sent && held->revoked > sent->version;
+    if (urgent_only && !urgent) continue;
+    differs = changed = true, write.urgent = write.urgent || urgent;
+    write.items.push_back({held, time_to_live, true});
+    if (!full && write.items.size() >= kOfOneResponse) break;
+  }
+  if (urgent_only && !write.urgent) return std::nullopt;
+  if (!urgent_only) {
+    if (now < has.pause_until) return look_again(stream, has.pause_until), std::nullopt;
+    for (Write::Item& item : renewals)
+      if (write.items.size() < kOfOneResponse) write.items.push_back(std::move(item)), differs = true;
+    std::vector<std::string> missing;
+    for (const auto& [name, of_name] : has.has)
+      if (!wants.contains(name) && !offer.withheld.contains(name)) missing.push_back(name);
+    if (stream.form == Form::changes) {
+      for (const std::string& name : has.names)
+        if (!wants.contains(name) && !offer.withheld.contains(name) && !has.told_missing.contains(name))
+          missing.push_back(name);
+      std::ranges::sort(missing);
+      missing.erase(std::unique(missing.begin(), missing.end()), missing.end());
+      for (const std::string& name : missing)
+        if (write.removed.size() < kOfOneResponse)
+          write.removed.push_back(name), has.told_missing.insert(name);
+      differs |= !write.removed.empty();
+      for (const std::string& name : write.removed) has.has.erase(name);
+    } else {
+      differs |= full && !missing.empty();
+      for (const std::string& name : missing) has.has.erase(name);
+    }
+  }
+  // Turned down as it stood, the whole state is sent again only when it has become another.
+  if (full && differs && has.whole == offer.versions[static_cast<std::size_t>(kind)] && has.pause > 0)
+    return std::nullopt;
+  if (!differs || (full && write.items.empty())) return std::nullopt;
+  if (full || changed) has.whole = offer.versions[static_cast<std::size_t>(kind)];
+  write.version = text_of({offer.revision, epoch_, offer.versions[static_cast<std::size_t>(kind)], service_});
+  write.nonce = has.last_nonce = fmt::format("{}.{}", id.number, ++stream.nonces);
+  Response response{write.nonce, now, false, {}};
+  for (const Write::Item& item : write.items) {
+    Has& of_name = has.has[item.resource->name];
+    if (item.resource->version != of_name.turned_down) of_name.turned_down = 0;
+    of_name.sent = item.resource;
+    response.leased |= item.time_to_live >= 0;
+    response.sent.emplace(item.resource->name, item.resource);
+  }
+  has.out.push_back(std::move(response));
+  return write;
+}
+
+std::optional<Write> Streams::difference(StreamId id, Stream& stream, bool urgent_only, Millis now) {
+  // Trust is lost when answers come late, and comes back by itself.
+  const bool trusted = now >= stream.distrusted_until;
+  const Abilities abilities = trusted ? stream.can : Abilities{Expiry::none, stream.can.weighs, false};
+  if (abilities != stream.abilities) {
+    notices_.push_back({id, trusted ? "trusted with leases" : "not trusted with leases",
+                        trusted ? "" : "its answers come late"});
+    stream.abilities = abilities;
+    look_again(stream, now);
+  }
+  if (!trusted) look_again(stream, stream.distrusted_until);
+  const Offer* offer = offer_for(stream);
+  if (!offer) return std::nullopt;
+  // Guards against bringing a drained member back: a proxy that comes from another service, or from before a
+  // crash, and knows a newer list than ours keeps what it has until we know as much.
+  if (offer->revision < stream.must_reach) {
+    if (now < stream.opened + bounds_.behind)
+      return look_again(stream, stream.opened + bounds_.behind), std::nullopt;
+    notices_.push_back(
+        {id, "older list told", fmt::format("ours {}, the proxy's {}", offer->revision, stream.must_reach)});
+    stream.must_reach = 0;
+  }
+  for (const Kind kind : urgent_only
+                             ? std::vector{Kind::endpoints}
+                             : std::vector{Kind::clusters, Kind::endpoints, Kind::listeners, Kind::routes})
+    if (auto write = difference(id, stream, kind, *offer, urgent_only, now)) return write;
+  return std::nullopt;
+}
+
+// Guards against proxies that don't read, or don't answer: each costs a few responses in hand, and not for
+// ever.
+void Streams::judge_slow(Stream& stream, Millis now) {
+  Millis since = stream.writing ? stream.written_at : now;
+  for (const OfKind& kind : stream.kinds)
+    if (!kind.out.empty()) since = std::min(since, kind.out.front().at);
+  if (since == now) return;
+  if (now - since >= bounds_.unread)
+    stream.end = stream.writing ? "it does not read" : "it does not answer";
+  else
+    look_again(stream, since + bounds_.unread);
+}
+
+// What takes something away goes out first, to every proxy; then a bounded part of the rest.
+std::vector<Act> Streams::settle(Millis now) {
+  std::vector<Act> acts;
+  for (auto& [id, stream] : streams_) {
+    stream.dirty |= stream.again >= 0 && now >= stream.again;
+    if (stream.dirty) stream.again = -1;
+  }
+  for (const bool urgent : {true, false}) {
+    std::size_t written = 0;
+    for (auto& [id, stream] : streams_) {
+      if (stream.end || stream.writing || !stream.dirty) continue;
+      if (!urgent && written >= kOfOneTurn) {
+        look_again(stream, now);
+        continue;
+      }
+      auto write = difference(id, stream, urgent, now);
+      if (!write) {
+        if (!urgent) stream.dirty = false;
+        continue;
+      }
+      ++written, ++counts_.responses, counts_.urgent += urgent;
+      stream.writing = true, stream.written_at = now;
+      acts.push_back(std::move(*write));
+    }
+  }
+  due_ = -1;
+  for (auto& [id, stream] : streams_) {
+    if (!stream.end) judge_slow(stream, now);
+    if (stream.end && !stream.end->empty()) {
+      acts.push_back(End{id, *stream.end});
+      stream.end = "";
+    }
+    if (!stream.end && stream.again >= 0) due_ = due_ < 0 ? stream.again : std::min(due_, stream.again);
+  }
+  for (Notice& notice : std::exchange(notices_, {})) acts.push_back(std::move(notice));
+  return acts;
+}
+
+}  // namespace reedspindle::control
--- /dev/null
+++ b/src/control/xds.cpp
@@ -0,0 +1,252 @@
+#include "control/xds.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "envoy/config/cluster/v3/cluster.pb.h"
+#include "envoy/config/endpoint/v3/endpoint.pb.h"
+#include "envoy/config/listener/v3/listener.pb.h"
+#include "envoy/config/route/v3/route.pb.h"
+#include "envoy/extensions/clusters/aggregate/v3/cluster.pb.h"
+#include "envoy/extensions/filters/http/router/v3/router.pb.h"
+#include "envoy/extensions/filters/network/http_connection_manager/v3/http_connection_manager.pb.h"
+
+namespace reedspindle::control::xds {
+namespace {
+
+namespace core = envoy::config::core::v3;
+namespace endpoint = envoy::config::endpoint::v3;
+namespace cluster = envoy::config::cluster::v3;
+namespace route = envoy::config::route::v3;
+namespace listener = envoy::config::listener::v3;
+namespace hcm = envoy::extensions::filters::network::http_connection_manager::v3;
+
+constexpr const char* kTypes[] = {"type.googleapis.com/envoy.config.cluster.v3.Cluster",
+                                  "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+                                  "type.googleapis.com/envoy.config.listener.v3.Listener",
+                                  "type.googleapis.com/envoy.config.route.v3.RouteConfiguration"};
+constexpr std::size_t kEncoded = 4096;  // resources; some times what a thousand groups have
+constexpr const char* kGroupHeader = "x-group";
+constexpr const char* kTypeHeader = "x-op-type";
+
+void from_us(core::ConfigSource& source) {
+  source.mutable_ads();
+  source.set_resource_api_version(core::V3);
+}
+
+void encode(const Cluster& body, const Resource& resource, std::string& into) {
+  cluster::Cluster message;
+  message.set_name(resource.name);
+  if (body.others.empty()) {
+    message.set_type(cluster::Cluster::EDS);
+    from_us(*message.mutable_eds_cluster_config()->mutable_eds_config());
+  } else {
+    envoy::extensions::clusters::aggregate::v3::ClusterConfig others;
+    for (const std::string& other : body.others) others.add_clusters(other);
+    message.mutable_cluster_type()->set_name("envoy.clusters.aggregate");
+    message.mutable_cluster_type()->mutable_typed_config()->PackFrom(others);
+    message.set_lb_policy(cluster::Cluster::CLUSTER_PROVIDED);
+  }
+  message.mutable_connect_timeout()->set_seconds(1);
+  // Who drains or has gone is out at once: not merged with later updates, not kept for its health, not taken
+  // back because few others are left.
+  auto& common = *message.mutable_common_lb_config();
+  common.mutable_healthy_panic_threshold()->set_value(0);
+  common.mutable_update_merge_window()->set_seconds(0);
+  message.set_ignore_health_on_host_removal(true);
+  message.SerializeToString(&into);
+}
+
+void encode(const Assignment& body, const Resource& resource, std::string& into) {
+  endpoint::ClusterLoadAssignment message;
+  message.set_cluster_name(resource.name);
+  // By rank and zone, in the order of both.
+  std::map<std::pair<int, std::string>, endpoint::LocalityLbEndpoints*> places;
+  std::map<std::pair<int, std::string>, std::vector<const Endpoint*>> sorted;
+  for (const Endpoint& e : body.endpoints) sorted[{e.rank, e.zone}].push_back(&e);
+  for (const auto& [place, endpoints] : sorted) {
+    endpoint::LocalityLbEndpoints& locality = *message.add_endpoints();
+    locality.set_priority(static_cast<std::uint32_t>(place.first));
+    locality.mutable_locality()->set_zone(place.second);
+    std::uint32_t weight = 0;
+    for (const Endpoint* e : endpoints) {
+      endpoint::LbEndpoint& row = *locality.add_lb_endpoints();
+      auto& address = *row.mutable_endpoint()->mutable_address()->mutable_socket_address();
+      const std::size_t colon = e->address.rfind(':');
+      std::string_view host = std::string_view(e->address).substr(0, colon);
+      if (host.starts_with('[') && host.ends_with(']')) host = host.substr(1, host.size() - 2);
+      address.set_address(std::string(host));
+      address.set_port_value(colon == std::string::npos ? 0
+                                                        : static_cast<std::uint32_t>(std::strtoul(
+                                                              e->address.c_str() + colon + 1, nullptr, 10)));
+      row.mutable_endpoint()->set_hostname(e->member.address);
+      row.set_health_status(e->standing == Standing::healthy    ? core::HEALTHY
+                            : e->standing == Standing::draining ? core::DRAINING
+                                                                : core::UNHEALTHY);
+      row.mutable_load_balancing_weight()->set_value(e->weight);
+      weight += e->weight;
+      auto& fields = *(*row.mutable_metadata()->mutable_filter_metadata())[kMetadata].mutable_fields();
+      static const char* const hindrances[] = {"none", "drains", "gone", "down", "resting"};
+      fields["member"].set_string_value(e->member.address);
+      fields["role"].set_string_value(e->primary ? "primary" : "replica");
+      fields["hindrance"].set_string_value(hindrances[static_cast<int>(e->hindrance)]);
+      if (e->position >= 0) fields["position_ms"].set_number_value(e->position);
+      if (e->until >= 0) fields["fresh_until_ms"].set_number_value(e->until);
+    }
+    locality.mutable_load_balancing_weight()->set_value(weight);
+  }
+  message.SerializeToString(&into);
+}
+
+void encode(const Listener& body, const Resource& resource, std::string& into) {
+  hcm::HttpConnectionManager manager;
+  manager.set_stat_prefix(resource.name);
+  manager.mutable_rds()->set_route_config_name(body.routes);
+  from_us(*manager.mutable_rds()->mutable_config_source());
+  hcm::HttpFilter& filter = *manager.add_http_filters();
+  filter.set_name("envoy.filters.http.router");
+  filter.mutable_typed_config()->PackFrom(envoy::extensions::filters::http::router::v3::Router());
+  listener::Listener message;
+  message.set_name(resource.name);
+  message.mutable_api_listener()->mutable_api_listener()->PackFrom(manager);
+  message.SerializeToString(&into);
+}
+
+void encode(const Routes& body, const Resource& resource, std::string& into) {
+  route::RouteConfiguration message;
+  message.set_name(resource.name);
+  route::VirtualHost& host = *message.add_virtual_hosts();
+  host.set_name(resource.name);
+  host.add_domains(std::string(1, '*'));
+  for (const Route& one : body.routes) {
+    route::Route& row = *host.add_routes();
+    row.set_name(fmt::format("group-{}.{}", one.group.number, one.op_type));
+    row.mutable_match()->set_prefix("");
+    const auto match = [&row](const char* name, const std::string& value) {
+      route::HeaderMatcher& header = *row.mutable_match()->add_headers();
+      header.set_name(name);
+      header.mutable_string_match()->set_exact(value);
+    };
+    match(kGroupHeader, std::to_string(one.group.number));
+    match(kTypeHeader, one.op_type);
+    row.mutable_route()->set_cluster(one.cluster);
+  }
+  message.SerializeToString(&into);
+}
+
+void set(google::protobuf::Duration& duration, Millis ms) {
+  const auto seconds = static_cast<std::int64_t>(ms / 1000);
+  duration.set_seconds(seconds);
+  duration.set_nanos(static_cast<std::int32_t>((ms - static_cast<double>(seconds) * 1000) * 1e6));
+}
+
+template <typename Names>
+std::vector<std::string> taken_from(Names& names) {
+  std::vector<std::string> taken;
+  for (std::string& name : names) taken.push_back(std::move(name));
+  return taken;
+}
+
+}  // namespace
+
+std::optional<Kind> kind_of(const std::string& type_url) {
+  for (std::size_t kind = 0; kind < kKinds; ++kind)
+    if (type_url == kTypes[kind]) return static_cast<Kind>(kind);
+  return std::nullopt;
+}
+const char* type_url_of(Kind kind) { return kTypes[static_cast<std::size_t>(kind)]; }
+
+Abilities abilities_of(const core::Node& node) {
+  const auto can = [&node](const char* feature) {
+    return std::ranges::find(node.client_features(), feature) != node.client_features().end();
+  };
+  const bool envoy = node.user_agent_name() == "envoy";
+  Abilities abilities;
+  abilities.expiry = can(kStated)                ? Expiry::stated
+                     : can(kTimeToLive) || envoy ? Expiry::time_to_live
+                                                 : Expiry::none;
+  abilities.weighs = can(kWeighs) || envoy;
+  abilities.tokens = can(kTokens);
+  return abilities;
+}
+
+std::optional<Heard> heard_in(discovery::DiscoveryRequest&& message) {
+  const auto kind = kind_of(message.type_url());
+  if (!kind) return std::nullopt;
+  Heard heard;
+  heard.kind = *kind, heard.nonce = message.response_nonce(), heard.version = message.version_info();
+  heard.names = taken_from(*message.mutable_resource_names());
+  if (message.has_error_detail()) heard.turned_down = message.error_detail().message();
+  return heard;
+}
+
+std::optional<Heard> heard_in(discovery::DeltaDiscoveryRequest&& message) {
+  const auto kind = kind_of(message.type_url());
+  if (!kind) return std::nullopt;
+  Heard heard;
+  heard.kind = *kind, heard.nonce = message.response_nonce();
+  heard.names = taken_from(*message.mutable_resource_names_subscribe());
+  heard.no_more = taken_from(*message.mutable_resource_names_unsubscribe());
+  for (const auto& [name, version] : message.initial_resource_versions()) heard.holds[name] = version;
+  if (message.has_error_detail()) heard.turned_down = message.error_detail().message();
+  return heard;
+}
+
+const std::string& Encoder::encoded(const Resource& resource) {
+  const auto found = encoded_.find(resource.version);
+  if (found != encoded_.end()) return found->second;
+  while (encoded_.size() >= kEncoded) encoded_.erase(encoded_.begin());
+  std::string& bytes = encoded_[resource.version];
+  std::visit([&](const auto& body) { encode(body, resource, bytes); }, resource.body);
+  return bytes;
+}
+
+discovery::DiscoveryResponse Encoder::whole(const Write& write) {
+  discovery::DiscoveryResponse response;
+  response.set_version_info(write.version);
+  response.set_type_url(type_url_of(write.kind));
+  response.set_nonce(write.nonce);
+  response.mutable_control_plane()->set_identifier(service_);
+  for (const Write::Item& item : write.items) {
+    google::protobuf::Any& any = *response.add_resources();
+    if (item.time_to_live < 0) {
+      any.set_type_url(type_url_of(write.kind));
+      any.set_value(encoded(*item.resource));
+      continue;
+    }
+    discovery::Resource wrapped;
+    wrapped.set_name(item.resource->name);
+    wrapped.set_version(text_of({item.resource->revision, epoch_, item.resource->version, service_}));
+    set(*wrapped.mutable_ttl(), item.time_to_live);
+    if (item.body) {
+      wrapped.mutable_resource()->set_type_url(type_url_of(write.kind));
+      wrapped.mutable_resource()->set_value(encoded(*item.resource));
+    }
+    any.PackFrom(wrapped);
+  }
+  return response;
+}
+
+discovery::DeltaDiscoveryResponse Encoder::changes(const Write& write) {
+  discovery::DeltaDiscoveryResponse response;
+  response.set_system_version_info(write.version);
+  response.set_type_url(type_url_of(write.kind));
+  response.set_nonce(write.nonce);
+  response.mutable_control_plane()->set_identifier(service_);
+  for (const Write::Item& item : write.items) {
+    discovery::Resource& row = *response.add_resources();
+    row.set_name(item.resource->name);
+    row.set_version(text_of({item.resource->revision, epoch_, item.resource->version, service_}));
+    if (item.time_to_live >= 0) set(*row.mutable_ttl(), item.time_to_live);
+    if (item.body) {
+      row.mutable_resource()->set_type_url(type_url_of(write.kind));
+      row.mutable_resource()->set_value(encoded(*item.resource));
+    }
+  }
+  for (const std::string& name : write.removed) response.add_removed_resources(name);
+  return response;
+}
+
+}  // namespace reedspindle::control::xds
--- a/src/links/list.cpp
+++ b/src/links/list.cpp
@@ -62,6 +62,7 @@
   if (!needed(row, "pod_group").is_number_integer()) throw Malformed("targets: pod_group is no whole number");
   store.entry.group = {row["pod_group"].get<int>()};
   store.entry.zone = named(row, "az", catalogue.zones);
+  if (const auto az = row.find("az"); az != row.end() && az->is_string()) store.zone = az->get<std::string>();
   store.entry.kind = named(row, "model", catalogue.kinds);
   store.entry.size = number(row, "capacity_hint", 1);
   store.entry.up_since = number(row, "boot_ms", 0);
@@ -143,6 +144,13 @@
   if (watching_) ask();
 }
 
+void List::ask_whole() {
+  whole_ = true;
+  if (!watching_) return;
+  give_back();
+  ask();
+}
+
 void List::stop() {
   watching_ = false;
   give_back();
--- a/src/links/list.hpp
+++ b/src/links/list.hpp
@@ -22,6 +22,7 @@
 
 struct ListedStore {
   ListedMember entry;
+  std::string zone;  // as discovery names it
   asio::ip::tcp::endpoint endpoint;
 };
 struct StoreList {
@@ -45,6 +46,8 @@
   // Discovery is at another address from now on: the whole list is asked for there at once, and what is known
   // stays until it comes.
   void move(const asio::ip::tcp::endpoint& discovery);
+  // The whole list, now: what is known is in doubt.
+  void ask_whole();
   void stop();
 
  private:
--- /dev/null
+++ b/tests/control.cpp
@@ -0,0 +1,268 @@
+// Plays a case file to the control service's modules that are free of I/O, the decision module among them:
+// lists and probes go in, what streams are sent comes out. As in the other cases, lines starting with two
+// blanks are what is expected and are skipped on reading.
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include "control/kept.hpp"
+#include "control/offer.hpp"
+#include "control/roster.hpp"
+#include "control/streams.hpp"
+
+namespace {
+using namespace reedspindle;
+using namespace reedspindle::control;
+
+const char* const kKindNames[] = {"clusters", "endpoints", "listeners", "routes"};
+Kind kind_of(const std::string& word) {
+  for (int kind = 0; kind < 4; ++kind)
+    if (word == kKindNames[kind]) return static_cast<Kind>(kind);
+  throw std::runtime_error("unknown kind " + word);
+}
+
+Values values() {
+  Values values{{"instances", 1.0},
+                {"tick", 5.0},
+                {"list", "push"},
+                {"allow.probes", 1.0},
+                {"op_types", 3.0},
+                {"rule.warm_within", 10000.0},
+                {"rule.cold_from", 0.2},
+                {"op_type.0.needs", "write"},
+                {"op_type.1.needs", "bounded"},
+                {"op_type.1.bound", 1500.0},
+                {"op_type.2.needs", "any"}};
+  return values;
+}
+
+class Play {
+ public:
+  void line(const std::string& text) {
+    std::istringstream words(text);
+    std::string word;
+    words >> word;
+    if (word.empty() || word == "#") return;
+    if (word == "at") {
+      words >> now_;
+      settle();
+    } else if (word == "list") {
+      list(words);
+    } else if (word == "probed") {
+      ProbeEnded ended;
+      std::string role;
+      words >> ended.member.address >> role >> ended.seen.position;
+      ended.answered = true, ended.took = 1;
+      ended.seen.role = role == "primary" ? Role::primary : Role::replica;
+      router_->note(ended);
+    } else if (word == "unprobed") {
+      ProbeEnded ended;
+      words >> ended.member.address;
+      router_->note(ended);
+    } else if (word == "open") {
+      open(words);
+    } else if (word == "close") {
+      StreamId id;
+      words >> id.number;
+      streams_->close(id);
+      last_.erase(id);
+    } else if (word == "asks" || word == "takes" || word == "rejects" || word == "unasks") {
+      hear(word, words);
+    } else if (word == "reads") {  // the transport of that stream takes the next response
+      StreamId id;
+      words >> id.number;
+      streams_->written(id, now_);
+    } else if (word == "restart") {  // another service, with what the store held, or without
+      std::string service = "b", with;
+      words >> service >> with;
+      const std::string text = text_of(roster_->kept());
+      last_.clear();
+      start(service);
+      if (with == "kept") {
+        roster_->restore(kept_in(text));
+        router_->note(roster_->read());
+      }
+    } else if (word == "reads-all") {
+      for (auto& [id, kinds] : last_) streams_->written(id, now_);
+    } else {
+      throw std::runtime_error("unknown line " + text);
+    }
+  }
+
+  Play() { start("a"); }
+
+ private:
+  void start(const std::string& service) {
+    router_ = make_router(values(), 7);
+    roster_ = std::make_unique<Roster>(Roster::Bounds{2000, 0.5, 30000});
+    offering_ =
+        std::make_unique<Offering>(std::vector<RoutedType>{{"save", RoutedType::Needs::primary, 0},
+                                                           {"browse", RoutedType::Needs::bounded, 1500},
+                                                           {"report", RoutedType::Needs::any, 0}},
+                                   Offering::Leases{100, 10, 250}, 2000);
+    Streams::Bounds bounds;
+    bounds.streams = 3, bounds.names = 8, bounds.name_length = 32;
+    streams_ = std::make_unique<Streams>(bounds, service, ++epoch_);
+  }
+
+  // "list 7 complete a:ready:0 b:draining:0": revision, kind, then id, state and group of each.
+  void list(std::istream& words) {
+    RosterList list;
+    std::string text, part;
+    words >> list.revision >> text;
+    list.kind = text == "changes" ? ListKind::changes : ListKind::complete;
+    while (words >> text) {
+      std::istringstream parts(text);
+      RosterEntry entry;
+      std::getline(parts, entry.listed.member.address, ':');
+      std::getline(parts, part, ':');
+      entry.listed.state = part == "ready"      ? MemberState::ready
+                           : part == "draining" ? MemberState::draining
+                                                : MemberState::gone;
+      parts >> entry.listed.group.number;
+      if (std::string rest; std::getline(parts, rest, ':') && std::getline(parts, rest, ':'))
+        entry.listed.up_since = std::stod(rest);
+      entry.endpoint = entry.listed.member.address + ":1";
+      list.members.push_back(entry);
+    }
+    const auto out = roster_->take(list, now_);
+    for (const MemberId& id : out) std::cout << "  out: " << id.address << '\n';
+    const char* const doubts[] = {"", "empty", "loss", "older"};
+    if (roster_->doubt() != Doubt::none)
+      std::cout << "  doubted: " << doubts[static_cast<int>(roster_->doubt())] << '\n';
+    if (!std::exchange(asked_, roster_->ask_at()) && roster_->ask_at())
+      std::cout << "  asks for the whole list at " << *roster_->ask_at() << '\n';
+    router_->note(roster_->read());
+  }
+
+  void open(std::istream& words) {  // "open 1 whole|changes [ttl|stated] [weighs] [tokens]"
+    StreamId id;
+    std::string text;
+    words >> id.number >> text;
+    const Form form = text == "whole" ? Form::whole : Form::changes;
+    Abilities abilities;
+    while (words >> text) {
+      if (text == "ttl") abilities.expiry = Expiry::time_to_live;
+      if (text == "stated") abilities.expiry = Expiry::stated;
+      abilities.weighs |= text == "weighs", abilities.tokens |= text == "tokens";
+    }
+    if (!streams_->open(id, form, abilities, now_)) std::cout << "  too many streams\n";
+    last_[id];
+    whole_[id] = form == Form::whole;
+  }
+
+  // "asks 1 endpoints [name ...] [with version|name=version]", "takes 1 endpoints", "rejects 1 endpoints
+  // why".
+  void hear(const std::string& word, std::istream& words) {
+    StreamId id;
+    std::string text;
+    Heard heard;
+    words >> id.number >> text;
+    heard.kind = kind_of(text);
+    Last& last = last_[id][heard.kind];
+    if (word == "asks" || word == "unasks") {
+      while (words >> text) {
+        if (text.starts_with("with=")) {
+          heard.version = text.substr(5);
+        } else if (text.starts_with("nonce=")) {
+          heard.nonce = text.substr(6);
+        } else if (const auto sign = text.find('='); sign != std::string::npos) {
+          heard.holds[text.substr(0, sign)] = text.substr(sign + 1);
+        } else if (text.starts_with("x*")) {  // many names, or a long one
+          for (int i = 0; i < 20; ++i) heard.names.push_back(fmt::format("n{}", i));
+        } else {
+          (word == "asks" ? heard.names : heard.no_more).push_back(text);
+        }
+      }
+      last.names = heard.names;
+    } else {
+      heard.nonce = last.nonce;
+      heard.version = last.version;
+      if (whole_[id]) heard.names = last.names;
+      if (word == "rejects") {
+        std::getline(words >> std::ws, text);
+        heard.turned_down = text;
+      }
+    }
+    streams_->hear(id, heard, now_);
+  }
+
+  void settle() {
+    for (const Decision& decision : router_->settle(now_))
+      if (const auto* forget = std::get_if<Forget>(&decision))
+        std::cout << "  forget " << forget->member.address << '\n';
+    for (int turn = 0; turn < 2; ++turn) {  // once more where abilities have changed
+      streams_->offer(offering_->make(router_->view(), *roster_, streams_->abilities(), now_));
+      for (const Act& act : streams_->settle(now_)) std::visit([this](const auto& a) { print(a); }, act);
+    }
+  }
+
+  void print(const Write& write) {
+    Last& last = last_[write.stream][write.kind];
+    last.nonce = write.nonce, last.version = write.version;
+    std::cout << fmt::format("  {} {} {} {}{}\n", write.stream.number,
+                             kKindNames[static_cast<int>(write.kind)], write.nonce, write.version,
+                             write.urgent ? " urgent" : "");
+    for (const Write::Item& item : write.items) {
+      std::cout << "    " << item.resource->name;
+      if (item.time_to_live >= 0) std::cout << fmt::format(" ttl {}", item.time_to_live);
+      if (item.body)
+        std::visit([](const auto& body) { print(body); }, item.resource->body);
+      else
+        std::cout << " as it is";
+      std::cout << '\n';
+    }
+    for (const std::string& name : write.removed) std::cout << "    " << name << " removed\n";
+  }
+  static void print(const Cluster& cluster) {
+    for (const std::string& other : cluster.others) std::cout << " > " << other;
+  }
+  static void print(const Assignment& assignment) {
+    for (const Endpoint& e : assignment.endpoints) {
+      std::cout << fmt::format(" {}{}/{}", e.primary ? "*" : "", e.member.address, e.rank);
+      if (e.weight != 100) std::cout << fmt::format("x{}", e.weight);
+      if (e.standing != Standing::healthy)
+        std::cout << (e.standing == Standing::draining ? " drains" : " out");
+      if (e.until >= 0) std::cout << fmt::format(" until {}", e.until);
+      if (e.position >= 0) std::cout << fmt::format(" at {}", e.position);
+    }
+  }
+  static void print(const Listener& listener) { std::cout << " by " << listener.routes; }
+  static void print(const Routes& routes) {
+    for (const Route& route : routes.routes)
+      std::cout << fmt::format("\n      {} {} to {}", route.group.number, route.op_type, route.cluster);
+  }
+  void print(const End& end) { std::cout << fmt::format("  {} ends: {}\n", end.stream.number, end.why); }
+  void print(const Notice& notice) {
+    std::cout << fmt::format("  {} {}: {}\n", notice.stream.number, notice.event, notice.detail);
+  }
+
+  struct Last {
+    std::string nonce, version;
+    std::vector<std::string> names;
+  };
+  Millis now_ = 0;
+  std::uint64_t epoch_ = 0;
+  std::optional<Millis> asked_;
+  std::unique_ptr<Router> router_;
+  std::unique_ptr<Roster> roster_;
+  std::unique_ptr<Offering> offering_;
+  std::unique_ptr<Streams> streams_;
+  std::map<StreamId, std::map<Kind, Last>> last_;
+  std::map<StreamId, bool> whole_;
+};
+}  // namespace
+
+int main(int, char** argv) {
+  std::ifstream file(argv[1]);
+  Play play;
+  for (std::string text; std::getline(file, text);) {
+    if (text.starts_with("  ")) continue;
+    std::cout << text << '\n';
+    play.line(text);
+  }
+}
--- a/tests/forms.cpp
+++ b/tests/forms.cpp
@@ -30,12 +30,12 @@
     std::cout << "  " << (list.kind == reedspindle::ListKind::complete ? "complete " : "changes ")
               << list.revision << '\n';
     const char* states[] = {"ready", "draining", "gone"};
-    for (const auto& [entry, endpoint] : list.stores)
+    for (const auto& [entry, zone, endpoint] : list.stores)
       std::cout << "  " << entry.member.address << " at " << endpoint.address().to_string() << ':'
-                << endpoint.port() << ", zone " << entry.zone.number << ", kind " << entry.kind << ", group "
-                << entry.group.number << ", " << states[static_cast<int>(entry.state)] << ", size "
-                << entry.size << ", up since " << entry.up_since << (entry.primary ? ", primary" : "")
-                << '\n';
+                << endpoint.port() << ", zone " << zone << ' ' << entry.zone.number << ", kind " << entry.kind
+                << ", group " << entry.group.number << ", " << states[static_cast<int>(entry.state)]
+                << ", size " << entry.size << ", up since " << entry.up_since
+                << (entry.primary ? ", primary" : "") << '\n';
   } catch (const json::exception&) {
     std::cout << "  no JSON\n";
   } catch (const std::exception& fault) {
