Stand-ins for discovery, stores and proxies, and eleven scenarios with the real control service

Need: the failures the service exists for have to be caused on sockets: drains heard while streams are down, kills, damaged stores, lists that are empty or old, a second service that knows less, proxies that don't read, noise, stalled replicas under cut streams, certificates. The gRPC library's own xDS client is one of the proxies; it turned string_match down (1.51), so clients that call themselves gRPC are handed routes in the protocol's elder form.

--- a/src/control/offer.cpp
+++ b/src/control/offer.cpp
@@ -102,7 +102,7 @@
     made.offer.ready = ready_, made.offer.revision = roster.revision(), made.offer.abilities = abilities;
     if (made.before) made.offer.versions = made.before->versions;
     if (ready_) {
-      Routes routes;
+      Routes routes{{}, abilities.elder};
       for (const auto& [id, group] : groups) {
         hand_out(made, id, group);
         for (const RoutedType& type : types_) {
--- a/src/control/offer.hpp
+++ b/src/control/offer.hpp
@@ -30,6 +30,7 @@
   Expiry expiry = Expiry::none;
   bool weighs = false;  // goes by endpoints' weights
   bool tokens = false;  // tests endpoints' positions against sessions' tokens itself
+  bool elder = false;   // reads routes in the protocol's elder form alone
   auto operator<=>(const Abilities&) const = default;
 };
 
@@ -68,6 +69,7 @@
 };
 struct Routes {
   std::vector<Route> routes;
+  bool elder = false;
   bool operator==(const Routes&) const = default;
 };
 
--- a/src/control/streams.cpp
+++ b/src/control/streams.cpp
@@ -331,7 +331,8 @@
 std::optional<Write> Streams::difference(StreamId id, Stream& stream, bool urgent_only, Millis now) {
   // Trust is lost when answers come late, and comes back by itself.
   const bool trusted = now >= stream.distrusted_until;
-  const Abilities abilities = trusted ? stream.can : Abilities{Expiry::none, stream.can.weighs, false};
+  const Abilities abilities =
+      trusted ? stream.can : Abilities{Expiry::none, stream.can.weighs, false, stream.can.elder};
   if (abilities != stream.abilities) {
     notices_.push_back({id, trusted ? "trusted with leases" : "not trusted with leases",
                         trusted ? "" : "its answers come late"});
--- a/src/control/xds.cpp
+++ b/src/control/xds.cpp
@@ -124,10 +124,13 @@
     route::Route& row = *host.add_routes();
     row.set_name(fmt::format("group-{}.{}", one.group.number, one.op_type));
     row.mutable_match()->set_prefix("");
-    const auto match = [&row](const char* name, const std::string& value) {
+    const auto match = [&](const char* name, const std::string& value) {
       route::HeaderMatcher& header = *row.mutable_match()->add_headers();
       header.set_name(name);
-      header.mutable_string_match()->set_exact(value);
+      if (body.elder)
+        header.set_exact_match(value);
+      else
+        header.mutable_string_match()->set_exact(value);
     };
     match(kGroupHeader, std::to_string(one.group.number));
     match(kTypeHeader, one.op_type);
@@ -169,6 +172,8 @@
                                                  : Expiry::none;
   abilities.weighs = can(kWeighs) || envoy;
   abilities.tokens = can(kTokens);
+  // Its client turned string_match down up to 1.51, which is where we have met it; later ones read both.
+  abilities.elder = node.user_agent_name().starts_with("gRPC");
   return abilities;
 }
 
--- /dev/null
+++ b/tests/proxies.cpp
@@ -0,0 +1,625 @@
+// Plays one scenario with the real control service between stand-ins for discovery, stores and proxies, and
+// prints what came of it. Nothing waits for a fixed time where there is something to wait for.
+#include "standins/proxies.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <grpcpp/generic/async_generic_service.h>
+#include <grpcpp/generic/generic_stub.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "standins/service.hpp"
+#include "standins/world.hpp"
+
+namespace {
+using namespace reedspindle::standins;
+
+std::string program, folder;
+
+void say(const std::string& text) { std::cout << "  " << text << std::endl; }
+void say(const std::string& what, bool is) { say(what + (is ? ": yes" : ": no")); }
+
+const std::vector<std::string> kNames = {"group-0.primary", "group-0.any", "group-0.within-1500ms",
+                                         "group-0.members"};
+const ProxyCan kWhole{false, {"reedspindle.expiry.stated", "reedspindle.weights"}, "stand-in"};
+const ProxyCan kChanges{true, {"reedspindle.expiry.stated", "reedspindle.weights"}, "stand-in"};
+
+// One group: a primary and replicas.
+void one_group(std::vector<StoreState>& states) {
+  states[0].primary = true;
+  for (StoreState& state : states) state.group = 0;
+}
+
+bool names(const Proxy& proxy, const std::string& assignment, const std::string& member,
+           bool healthy = true) {
+  const auto handed = proxy.assignment(assignment);
+  return handed && std::ranges::any_of(
+                       *handed, [&](const Handed& h) { return h.member == member && h.healthy == healthy; });
+}
+std::string healthy_in(const Proxy& proxy, const std::string& assignment) {
+  std::string text;
+  std::map<unsigned, std::set<std::string>> by_priority;
+  for (const Handed& handed : proxy.assignment(assignment).value_or(std::vector<Handed>{}))
+    if (handed.healthy) by_priority[handed.priority].insert((handed.primary ? "*" : "") + handed.member);
+  for (const auto& [priority, members] : by_priority)
+    for (const std::string& member : members) text += fmt::format(" {}:{}", priority, member);
+  return text;
+}
+bool settled(const Proxy& proxy) {
+  return names(proxy, "group-0.primary", "s-000") && names(proxy, "group-0.any", "s-001") &&
+         names(proxy, "group-0.any", "s-002");
+}
+
+// Both forms are told the same, follow a drain, a change of primary and a lagging replica.
+void ordinary() {
+  World world(4);
+  world.change(one_group);
+  ServiceProcess service(program, folder, "a", world.discovery_address());
+  service.start();
+  Proxy whole("w", service.target(), kWhole, kNames), changes("c", service.target(), kChanges, kNames);
+  for (Proxy* proxy : {&whole, &changes}) {
+    say("told", proxy->wait([](const Proxy& p) {
+      return settled(p) && names(p, "group-0.within-1500ms", "s-003") && names(p, "group-0.any", "s-003");
+    }));
+    say("bounded:" + healthy_in(*proxy, "group-0.within-1500ms") +
+        ", any:" + healthy_in(*proxy, "group-0.any"));
+    const auto clusters = proxy->clusters();
+    say(fmt::format("clusters: {}", clusters.size()));
+  }
+  world.quietly([](auto& states) { states[1].lag = 60000; });
+  for (Proxy* proxy : {&whole, &changes})
+    say("the lagging one is out of bounded reads",
+        proxy->wait([](const Proxy& p) { return !names(p, "group-0.within-1500ms", "s-001"); }));
+  world.change([](auto& states) { states[3].draining = true; });
+  for (Proxy* proxy : {&whole, &changes})
+    say("the draining one is out", proxy->wait([](const Proxy& p) {
+      return !names(p, "group-0.any", "s-003") && names(p, "group-0.members", "s-003", false);
+    }));
+  world.quietly([](auto& states) { states[0].primary = false, states[2].primary = true; });
+  for (Proxy* proxy : {&whole, &changes})
+    say("the new primary is followed", proxy->wait([](const Proxy& p) {
+      return names(p, "group-0.primary", "s-002") && !names(p, "group-0.primary", "s-000");
+    }));
+  service.end(SIGTERM);
+  say("one told to stop says so", service.says("stops name=a"));
+}
+
+// A drain heard while every stream is down, by the service killed and started again, with discovery silent:
+// the drained member never comes back, and no roster is empty.
+void drain_while_down() {
+  World world(4);
+  world.change(one_group);
+  ServiceProcess service(program, folder, "a", world.discovery_address());
+  service.start();
+  std::atomic<bool> drained = false, brought_back = false, empty = false;
+  const auto look = [&](Proxy& proxy, const std::string&, double) {
+    for (const auto& [name, handed] : proxy.assignments()) empty = empty || handed.empty();
+    if (drained && names(proxy, "group-0.any", "s-002")) brought_back = true;
+  };
+  std::vector<std::unique_ptr<Proxy>> proxies;
+  for (int i = 0; i < 6; ++i)
+    proxies.push_back(std::make_unique<Proxy>(fmt::format("p{}", i), service.target(),
+                                              i % 2 ? kChanges : kWhole, kNames, look));
+  for (auto& proxy : proxies)
+    if (!proxy->wait(settled)) return say("not told");
+  // Down, then heard by the next start alone.
+  service.end(SIGKILL);
+  world.change([](auto& states) { states[2].draining = true; });
+  service.start();
+  say("heard by the next start", service.says("hands out"));
+  for (auto& proxy : proxies)
+    if (!proxy->wait([](const Proxy& p) { return !names(p, "group-0.any", "s-002"); }))
+      return say("a proxy still has it");
+  drained = true;
+  // The store has it now; with discovery silent the next start goes by that.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  world.discovery(Manner::silent);
+  for (int round = 0; round < 3; ++round) {
+    std::vector<int> before;
+    for (auto& proxy : proxies) before.push_back(static_cast<int>(proxy->responses()));
+    service.end(SIGKILL);
+    service.start();
+    for (std::size_t i = 0; i < proxies.size(); ++i)
+      if (!proxies[i]->wait([&](const Proxy& p) {
+            return static_cast<int>(p.responses()) > before[i] + 1 && names(p, "group-0.any", "s-001");
+          }))
+        return say("a proxy was not told again");
+  }
+  say("brought back", brought_back);
+  say("an empty roster", empty);
+}
+
+// Killed at random moments while drains come and go: no empty roster, nothing brought back, versions rise.
+void kills() {
+  World world(6);
+  world.change(one_group);
+  ServiceProcess service(program, folder, "a", world.discovery_address());
+  service.start();
+  std::atomic<bool> empty = false, fell = false, sends_to_drained = false;
+  std::atomic<int> drained = -1;
+  std::mutex mutex;
+  std::map<std::string, std::pair<long long, long long>> last;  // epoch and change, by proxy
+  std::vector<std::unique_ptr<Proxy>> proxies;
+  const auto look = [&](Proxy& proxy, const std::string& type, double) {
+    for (const auto& [name, handed] : proxy.assignments()) empty = empty || handed.empty();
+    long long revision = 0, epoch = 0, change = 0;
+    if (!type.ends_with("Assignment")) return;
+    if (std::sscanf(proxy.last_version().c_str(), "r%lld.e%lld.c%lld", &revision, &epoch, &change) != 3)
+      fell = true;
+    const std::lock_guard lock(mutex);
+    auto& of = last[proxy.node()];
+    fell = fell || std::pair(epoch, change) < of;
+    of = {epoch, change};
+  };
+  for (int i = 0; i < 4; ++i)
+    proxies.push_back(std::make_unique<Proxy>(fmt::format("p{}", i), service.target(), kWhole, kNames, look));
+  std::minstd_rand chance(11);
+  for (int kill = 0; kill < 25; ++kill) {
+    const int out = 1 + static_cast<int>(chance() % 5);
+    world.change([out](auto& states) {
+      for (int i = 1; i < 6; ++i) states[static_cast<std::size_t>(i)].draining = i == out;
+    });
+    std::this_thread::sleep_for(std::chrono::microseconds(chance() % 120000));
+    service.end(SIGKILL);
+    service.start();
+    if (kill % 5 != 4) continue;
+    // Let it come up and see that everyone has the latest.
+    for (auto& proxy : proxies)
+      if (!proxy->wait([&](const Proxy& p) {
+            return !names(p, "group-0.any", world.name_of(out)) &&
+                   names(p, "group-0.members", world.name_of(out), false);
+          }))
+        return say("a proxy was not told");
+  }
+  say("an empty roster", empty);
+  say("a version that fell", fell);
+  std::string log = service.log();
+  say("a damaged store", log.find("damaged") != std::string::npos);
+}
+
+// The newest generations of the store are damaged in turn, then all, then of an older form.
+void damaged_store() {
+  World world(4);
+  world.change(one_group);
+  ServiceProcess service(program, folder, "a", world.discovery_address());
+  service.start();
+  if (!service.says("hands out")) return say("not started");
+  world.change([](auto& states) { states[2].draining = true; });
+  if (!service.says("member=s-002")) return say("not heard");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  service.end(SIGKILL);
+  world.discovery(Manner::silent);
+  const auto newest_first = [&] {
+    std::vector<std::string> files;
+    for (const auto& entry : std::filesystem::directory_iterator(service.keep()))
+      if (entry.path().filename().string().starts_with("state.")) files.push_back(entry.path());
+    std::ranges::sort(files, std::greater());
+    return files;
+  };
+  std::filesystem::resize_file(newest_first().front(), 100);
+  service.start();
+  Proxy proxy("p", service.target(), kWhole, kNames);
+  say("the generation before serves",
+      proxy.wait([](const Proxy& p) { return names(p, "group-0.any", "s-001"); }));
+  say("it is said", service.says("it is cut short") || service.says("its length"));
+  service.end(SIGKILL);
+  for (const std::string& file : newest_first()) std::ofstream(file) << "RSKEEP\r\nolder";
+  service.start();
+  say("all lost is said", service.says("it is cut short"));
+  Proxy fresh("f", service.target(), kWhole, kNames);
+  say("nothing is handed out without a list",
+      !fresh.wait([](const Proxy& p) { return p.responses() > 0; }, 700));
+  world.discovery(Manner::answers);
+  say("with a list it is", fresh.wait([](const Proxy& p) { return names(p, "group-0.any", "s-001"); }));
+  say("epochs went on", std::stoi(fresh.last_version().substr(fresh.last_version().find('e') + 1)) > 2);
+}
+
+// Discovery empty, then back in its revisions, then whole again.
+void lists() {
+  World world(4);
+  world.change(one_group);
+  ServiceProcess service(program, folder, "a", world.discovery_address(),
+                         "(roster (confirm 300ms) (older-list 1h))");
+  service.start();
+  std::atomic<bool> empty = false;
+  Proxy proxy("p", service.target(), kWhole, kNames, [&](Proxy& p, const std::string&, double) {
+    for (const auto& [name, handed] : p.assignments()) empty = empty || handed.empty();
+  });
+  say("told", proxy.wait(settled));
+  world.discovery(Manner::empty_list);
+  world.change([](auto&) {});
+  say("an empty list is doubted", service.says("why=\"it is empty\""));
+  world.discovery(Manner::answers);
+  world.change([](auto& states) { states[1].draining = true; });
+  say("the whole list counts again",
+      proxy.wait([](const Proxy& p) { return !names(p, "group-0.any", "s-001"); }));
+  world.revision(0);
+  world.change([](auto& states) { states[1].draining = false, states[2].draining = true; });
+  say("an older list is doubted", service.says("why=\"its revision is older\""));
+  say("it takes away", proxy.wait([](const Proxy& p) { return !names(p, "group-0.any", "s-002"); }));
+  say("it gives back", names(proxy, "group-0.any", "s-001"));
+  world.revision(100);
+  world.change([](auto&) {});
+  say("a newer one gives back", proxy.wait([](const Proxy& p) { return names(p, "group-0.any", "s-001"); }));
+  say("an empty roster", empty);
+}
+
+// Two services side by side, of which one hears of a drain and the other does not: a proxy that changes to
+// the other in mid-drain is left with what it knows, until that one has heard, too.
+void two_services() {
+  World world(4), behind(4);
+  world.change(one_group), behind.change(one_group);
+  ServiceProcess one(program, folder, "a", world.discovery_address());
+  ServiceProcess other(program, folder, "b", behind.discovery_address());
+  one.start(), other.start();
+  if (!one.says("hands out") || !other.says("hands out")) return say("not started");
+  for (const ProxyCan& can : {kWhole, kChanges}) {
+    world.change([](auto& states) { states[2].draining = false; });
+    std::atomic<bool> drained = false, back = false;
+    Proxy proxy("p", one.target(), can, kNames, [&](Proxy& p, const std::string&, double) {
+      if (drained && names(p, "group-0.any", "s-002")) back = true;
+    });
+    say("told by the first", proxy.wait(settled));
+    world.change([](auto& states) { states[2].draining = true; });
+    say("drained by the first", proxy.wait([](const Proxy& p) { return !names(p, "group-0.any", "s-002"); }));
+    drained = true;
+    proxy.come_back(other.target());
+    // What the other knows is older: nothing is told for as long as that is so.
+    say("told by the other, which knows less",
+        proxy.wait([](const Proxy& p) { return p.last_version().ends_with(".b"); }, 700));
+    long long revision = 0;
+    std::sscanf(proxy.last_version().c_str(), "r%lld", &revision);
+    behind.revision(revision);
+    behind.change([](auto& states) { states[2].draining = true; });
+    say("told by the other, which knows as much",
+        proxy.wait([&](const Proxy& p) { return p.last_version().ends_with(".b"); }));
+    say("brought back", back);
+    behind.change([](auto& states) { states[2].draining = false; });
+    world.revision(revision + 10);
+  }
+}
+
+// A proxy that stops reading, one that says nothing to what it is sent, one that turns everything down:
+// others are told all the same, and the three are let go or left in peace.
+void slow_ones() {
+  World world(4);
+  world.change(one_group);
+  ServiceProcess service(program, folder, "a", world.discovery_address(), "(proxies (unread 1s))");
+  service.start();
+  Proxy well("well", service.target(), kWhole, kNames), deaf("deaf", service.target(), kWhole, kNames),
+      mute("mute", service.target(), kWhole, kNames),
+      contrary("contrary", service.target(), kChanges, kNames);
+  for (Proxy* proxy : {&well, &deaf, &mute, &contrary}) say("told", proxy->wait(settled));
+  deaf.reads = false, mute.answers = false, contrary.turns_down = true;
+  for (int turn = 0; turn < 30; ++turn) {
+    world.change([turn](auto& states) { states[2].draining = turn % 2 == 0; });
+    if (!well.wait([turn](const Proxy& p) { return names(p, "group-0.any", "s-002") == (turn % 2 != 0); }))
+      return say("the well one was not told");
+  }
+  say("the mute one is let go", service.says("node=mute why=\"it does not answer\""));
+  const auto before = contrary.responses();
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  say("a loop of rejections", contrary.responses() > before + 3);
+  say("its reason is told", service.says("turned down node=contrary why=\"turned down on purpose\""));
+}
+
+// Noise on the port, half a handshake, streams that say nothing, names by thousands.
+void garbage() {
+  World world(4);
+  world.change(one_group);
+  ServiceProcess service(program, folder, "a", world.discovery_address(), "(proxies (most 4) (names 100))");
+  service.start();
+  Proxy well("well", service.target(), kWhole, kNames);
+  say("told", well.wait(settled));
+  std::minstd_rand chance(3);
+  std::vector<int> open;
+  const std::string target = service.target();
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(target.substr(target.rfind(':') + 1))));
+  inet_pton(AF_INET, target.substr(0, target.rfind(':')).c_str(), &address.sin_addr);
+  for (int i = 0; i < 200; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+      return say("not reached");
+    std::string noise = i % 3 == 0 ? "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" : "";
+    for (unsigned n = chance() % 2000; n > 0; --n) noise += static_cast<char>(chance());
+    if (send(fd, noise.data(), noise.size(), MSG_NOSIGNAL) < 0) say("not sent");
+    open.push_back(fd);
+  }
+  std::vector<std::string> many;
+  for (int i = 0; i < 5000; ++i) many.push_back(fmt::format("nobody-{}", i));
+  Proxy greedy("greedy", target, kChanges, many);
+  say("the greedy one is let go", service.says("node=greedy why=\"more than 100 names\""));
+  greedy.stop();
+  std::vector<std::unique_ptr<Proxy>> crowd;
+  for (int i = 0; i < 8; ++i)
+    crowd.push_back(std::make_unique<Proxy>(fmt::format("crowd-{}", i), target, kWhole, kNames));
+  say("the crowd is limited", service.says("not taken"));
+  world.change([](auto& states) { states[2].draining = true; });
+  say("the well one is told all the same",
+      well.wait([](const Proxy& p) { return !names(p, "group-0.any", "s-002"); }));
+  say("one stream from the start", well.streams() == 1);
+  for (const int fd : open) close(fd);
+}
+
+// Stand-in proxies send reads by what they were handed while replicas stall and streams are cut; what they
+// read is held against what the bound allows.
+void stale() {
+  World world(5);
+  world.change(one_group);
+  ServiceProcess service(program, folder, "a", world.discovery_address());
+  service.start();
+  std::vector<std::unique_ptr<Proxy>> proxies;
+  for (int i = 0; i < 6; ++i)
+    proxies.push_back(std::make_unique<Proxy>(
+        fmt::format("p{}", i), service.target(),
+        i % 3 == 2 ? ProxyCan{true, {"reedspindle.expiry.ttl", "reedspindle.weights"}, "stand-in"}
+        : i % 3    ? kChanges
+                   : kWhole,
+        std::vector<std::string>{"group-0.within-1500ms", "group-0.within-1500ms.replicas",
+                                 "group-0.primary"}));
+  for (auto& proxy : proxies)
+    if (!proxy->wait([](const Proxy& p) { return names(p, "group-0.primary", "s-000"); }))
+      return say("not told");
+  std::map<std::string, int> stores;
+  for (int store = 0; store < world.size(); ++store) stores[world.address_of(store)] = store;
+  std::minstd_rand chance(5);
+  long reads = 0, on_replicas = 0, nowhere = 0, too_old = 0;
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(8);
+  for (unsigned turn = 0; std::chrono::steady_clock::now() < end; ++turn) {
+    if (turn % 400 == 0) {
+      world.quietly([&](auto& states) {
+        for (std::size_t i = 1; i < states.size(); ++i) {
+          const bool stalls = chance() % 3 == 0;
+          if (stalls && states[i].stalled_at < 0) states[i].stalled_at = now_ms() - states[i].lag;
+          if (!stalls) states[i].stalled_at = -1;
+        }
+      });
+      proxies[chance() % proxies.size()]->come_back();
+    }
+    if (turn == 4000) kill(service.pid(), SIGSTOP);  // nothing more is heard of us
+    if (turn == 9000) kill(service.pid(), SIGCONT);
+    for (std::size_t i = 0; i < proxies.size(); ++i) {
+      const double now = now_ms();
+      auto to = proxies[i]->pick("group-0.within-1500ms", now, turn);
+      if (!to) to = proxies[i]->pick("group-0.within-1500ms.replicas", now, turn);
+      if (!to) to = proxies[i]->pick("group-0.primary", now, turn);
+      ++reads;
+      if (!to) {
+        ++nowhere;
+        continue;
+      }
+      const int store = stores.at(to->address);
+      on_replicas += store != 0;
+      too_old += now - world.position(store) > 1500;
+    }
+    std::this_thread::sleep_for(std::chrono::microseconds(300));
+  }
+  say("over 50,000 reads", reads > 50000);
+  say("a fifth of them on replicas at least", on_replicas * 5 > reads);
+  say("some with nowhere to go", nowhere > 0);
+  say("some too old", too_old > 0);
+}
+
+// Certificates: a proxy with one of the right issuer is taken, one without is not; new files count without a
+// restart.
+void tls() {
+  World world(3);
+  world.change(one_group);
+  const auto run = [](const std::string& command) {
+    if (std::system((command + " >/dev/null 2>&1").c_str()) != 0) say("failed: " + command);
+  };
+  const auto issue = [&](const std::string& name, const std::string& by, const std::string& subject) {
+    const std::string at = folder + "/" + name, from = folder + "/" + by;
+    run(fmt::format("openssl req -newkey rsa:2048 -nodes -keyout {0}.key -out {0}.csr -subj /CN={1}", at,
+                    subject));
+    std::ofstream(at + ".ext") << "subjectAltName=DNS:" << subject << "\n";
+    run(fmt::format(
+        "openssl x509 -req -in {0}.csr -CA {1}.pem -CAkey {1}.key -CAcreateserial -out {0}.pem -days 2 "
+        "-extfile {0}.ext",
+        at, from));
+  };
+  const auto issuer = [&](const std::string& name) {
+    run(
+        fmt::format("openssl req -x509 -newkey rsa:2048 -nodes -keyout {0}/{1}.key -out {0}/{1}.pem -days 2 "
+                    "-subj /CN={1}",
+                    folder, name));
+  };
+  const auto read = [&](const std::string& name) {
+    std::ifstream file(folder + "/" + name);
+    return std::string((std::istreambuf_iterator<char>(file)), {});
+  };
+  issuer("ours"), issuer("theirs");
+  issue("service", "ours", "control.test"), issue("proxy", "ours", "proxy.test"),
+      issue("stranger", "theirs", "proxy.test");
+  issue("later", "ours", "control.test");
+  ServiceProcess service(
+      program, folder, "a", world.discovery_address(),
+      fmt::format(
+          "(tls (certificate \"{0}/service.pem\") (key \"{0}/service.key\") (proxies \"{0}/ours.pem\"))",
+          folder));
+  service.start();
+  if (!service.says("hands out")) return say("not started");
+  const auto proxy_of = [&](const std::string& name) {
+    grpc::SslCredentialsOptions options;
+    options.pem_root_certs = read("ours.pem");
+    if (!name.empty())
+      options.pem_private_key = read(name + ".key"), options.pem_cert_chain = read(name + ".pem");
+    auto target = std::make_unique<Proxy>("p", service.target(), kWhole, kNames, Proxy::Applied{},
+                                          grpc::SslCredentials(options));
+    return target;
+  };
+  const auto taken = [&](const std::string& name, int ms) {
+    return proxy_of(name)->wait([](const Proxy& p) { return names(p, "group-0.any", "s-001"); }, ms);
+  };
+  say("one of our issuer is taken", taken("proxy", 10000));
+  say("one of another issuer is taken", taken("stranger", 700));
+  say("one without a certificate is taken", taken("", 700));
+  // Another certificate in the same files: new connections see it, the service goes on.
+  const auto number = [&](const std::string& name) {
+    run(fmt::format("openssl x509 -in {0}/{1}.pem -noout -serial -out {0}/{1}.serial", folder, name));
+    return read(name + ".serial");
+  };
+  const auto shown = [&] {
+    run(fmt::format(
+        "openssl s_client -connect {0} -cert {1}/proxy.pem -key {1}/proxy.key </dev/null 2>/dev/null | "
+        "openssl x509 -noout -serial -out {1}/shown",
+        service.target(), folder));
+    return read("shown");
+  };
+  say("the certificate is shown", shown() == number("service"));
+  for (const char* of : {"key", "pem"}) {
+    std::filesystem::copy_file(folder + "/later." + of, folder + "/next");
+    std::filesystem::rename(folder + "/next", folder + "/service." + of);
+  }
+  bool later = false;
+  for (int turn = 0; turn < 100 && !later; ++turn) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    later = shown() == number("later");
+  }
+  say("a later one is shown without a restart", later);
+  say("proxies are taken with it", taken("proxy", 10000));
+}
+
+// What a store says of itself to clients of its own: its name.
+class Named final : public grpc::CallbackGenericService {
+ public:
+  explicit Named(std::string name) : name_(std::move(name)) {}
+  grpc::ServerGenericBidiReactor* CreateReactor(grpc::GenericCallbackServerContext* context) override {
+    struct Reactor final : grpc::ServerGenericBidiReactor {
+      void OnDone() override { delete this; }
+    };
+    auto* reactor = new Reactor;
+    context->AddTrailingMetadata("store", name_);
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+ private:
+  const std::string name_;
+};
+
+// The xDS client inside the gRPC library, which nobody here wrote, follows primary, replicas and drains.
+void own_client() {
+  World world(4);
+  world.change(one_group);
+  std::vector<std::unique_ptr<Named>> named;
+  std::vector<std::unique_ptr<grpc::Server>> servers;
+  for (int store = 0; store < world.size(); ++store) {
+    named.push_back(std::make_unique<Named>(world.name_of(store)));
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    builder.RegisterCallbackGenericService(named.back().get());
+    servers.push_back(builder.BuildAndStart());
+    world.pass_http2(store, port);
+  }
+  ServiceProcess service(program, folder, "a", world.discovery_address());
+  setenv("GRPC_XDS_BOOTSTRAP_CONFIG",
+         fmt::format(R"({{"xds_servers":[{{"server_uri":"{}","channel_creds":[{{"type":"insecure"}}],)"
+                     R"("server_features":["xds_v3"]}}],"node":{{"id":"own","cluster":"test"}}}})",
+                     service.target())
+             .c_str(),
+         1);
+  service.start();
+  const auto channel = grpc::CreateChannel("xds:///reedspindle", grpc::InsecureChannelCredentials());
+  grpc::GenericStub stub(channel);
+  const auto call = [&](const std::string& type) {
+    grpc::ClientContext context;
+    context.AddMetadata("x-group", "0");
+    context.AddMetadata("x-op-type", type);
+    context.set_wait_for_ready(true);
+    context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(5));
+    grpc::CompletionQueue queue;
+    grpc::ByteBuffer asked(nullptr, 0), answer;
+    auto reader = stub.PrepareUnaryCall(&context, "/stores/Say", asked, &queue);
+    reader->StartCall();
+    grpc::Status status;
+    reader->Finish(&answer, &status, nullptr);
+    void* tag = nullptr;
+    bool ok = false;
+    queue.Next(&tag, &ok);
+    queue.Shutdown();
+    while (queue.Next(&tag, &ok)) continue;
+    const auto& trailing = context.GetServerTrailingMetadata();
+    const auto store = trailing.find("store");
+    return store == trailing.end() ? status.error_message()
+                                   : std::string(store->second.data(), store->second.size());
+  };
+  const auto reached = [&](const std::string& type, int calls) {
+    std::set<std::string> stores;
+    for (int i = 0; i < calls; ++i) stores.insert(call(type));
+    std::string text;
+    for (const std::string& store : stores) text += " " + store;
+    return text;
+  };
+  const auto becomes = [&](const std::string& type, const std::string& wanted) {
+    for (int turn = 0; turn < 100; ++turn) {
+      if (reached(type, 12) == wanted) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    say(type + " reaches" + reached(type, 12));
+    return false;
+  };
+  say("writes go to the primary", becomes("save", " s-000"));
+  say("reports go to replicas", becomes("report", " s-001 s-002 s-003"));
+  say("bounded reads, which it can't give up in time, go to the primary", becomes("browse", " s-000"));
+  world.change([](auto& states) { states[1].draining = true; });
+  say("a drain is followed", becomes("report", " s-002 s-003"));
+  world.quietly([](auto& states) { states[0].primary = false, states[2].primary = true; });
+  say("a new primary is followed", becomes("save", " s-002"));
+  say("the old one is a replica", becomes("report", " s-000 s-003"));
+  service.end(SIGKILL);
+  say("with the service gone it goes on", becomes("save", " s-002"));
+  world.change([](auto& states) { states[3].draining = true; });
+  service.start();
+  say("after the start a drain is followed", becomes("report", " s-000"));
+}
+
+const std::map<std::string, std::function<void()>> kScenarios = {{"ordinary", ordinary},
+                                                                 {"own_client", own_client},
+                                                                 {"drain_while_down", drain_while_down},
+                                                                 {"kills", kills},
+                                                                 {"damaged_store", damaged_store},
+                                                                 {"lists", lists},
+                                                                 {"two_services", two_services},
+                                                                 {"slow_ones", slow_ones},
+                                                                 {"garbage", garbage},
+                                                                 {"stale", stale},
+                                                                 {"tls", tls}};
+
+}  // namespace
+
+int main(int count, char** words) {
+  if (count != 3) return 2;
+  program = words[1];
+  std::signal(SIGPIPE, SIG_IGN);
+  char made[] = "/tmp/reedspindle-proxies-XXXXXX";
+  if (!mkdtemp(made)) return 1;
+  folder = made;
+  std::ifstream file(words[2]);
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("  ")) continue;
+    std::cout << line << std::endl;
+    const auto scenario = kScenarios.find(line);
+    if (scenario != kScenarios.end()) scenario->second();
+  }
+  if (!std::getenv("REEDSPINDLE_KEEP_LOGS")) std::filesystem::remove_all(folder);
+}
