--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -11,6 +11,7 @@
 
 constexpr int kOfOneTurn = 64;            // callbacks before the module is asked, as in the front
 constexpr Millis kKeepAgain = 1000;       // after the disk has reported a fault
+constexpr Millis kPace = 20;              // between offers; a tenth of the pace of probes
 constexpr Millis kReport = 60000;         // between lines that tell how it goes
 constexpr std::size_t kShownOfNode = 64;  // of what a proxy calls itself
 
@@ -47,7 +48,7 @@
           io_, timers_, clock_, log_, charge_.placement, [](SendEnded, std::string) {},
           [this](ProbeEnded ended) {
             router_->note(std::move(ended));
-            due_ = true;
+            due_ = noted_ = true;
           }),
       list_(io_, timers_, clock_, log_, charge_.placement,
             [this](links::StoreList list) { list_read(std::move(list)); }),
@@ -99,7 +100,7 @@
 void Service::list_read(links::StoreList list) {
   if (list.kind == ListKind::failed) {
     router_->note(ListRead{ListKind::failed, {}});
-    due_ = true;
+    due_ = noted_ = true;
     return;
   }
   const auto out = roster_.take(roster_list(list), clock_.now());
@@ -128,7 +129,7 @@
       list.stores.push_back({entry.listed, entry.zone, *endpoint});
   members_.learn(list);
   router_->note(roster_.read());
-  due_ = true;
+  due_ = noted_ = listed_ = true;
 }
 
 void Service::settle() {
@@ -137,8 +138,9 @@
     roster_.asked(now);
     list_.ask_whole();
   }
-  for (const Decision& decision : router_->settle(now))
-    std::visit([this](const auto& taken) { carry_out(taken); }, decision);
+  if (std::exchange(noted_, false))
+    for (const Decision& decision : router_->settle(now))
+      std::visit([this](const auto& taken) { carry_out(taken); }, decision);
   hand_out(now);
   // After what was handed out: proxies that know a newer list than a service does are left with it, so a
   // crash in between brings nothing back.
@@ -146,7 +148,14 @@
 }
 
 void Service::hand_out(Millis now) {
-  streams_.offer(offering_.make(router_->view(), roster_, streams_.abilities(), now));
+  // At once after a list, for what drains can't wait; else at a pace, so that the probes of hundreds of
+  // members are not as many offers.
+  const std::set<Abilities> abilities = streams_.abilities();
+  if (listed_ || abilities != offered_ || now - made_at_ >= kPace) {
+    listed_ = false, made_at_ = now, offered_ = abilities;
+    streams_.offer(offering_.make(router_->view(), roster_, abilities, now));
+  }
+  wake_at(made_at_ + kPace);
   if (!was_ready_ && offering_.ready()) {
     was_ready_ = true;
     log_.info("control", "hands out",
@@ -238,7 +247,7 @@
 void Service::carry_out(const Wake& decision) {
   timers_.set(decision.at, [this, timer = decision.timer] {
     router_->note(TimerDue{timer});
-    due_ = true;
+    due_ = noted_ = true;
   });
 }
 void Service::carry_out(const WatchList&) { list_.watch(); }
--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -86,7 +86,11 @@
   std::map<StreamId, Proxy> proxies_;
   std::string kept_;  // what the store was told last
   Doubt told_doubt_ = Doubt::none;
-  bool due_ = true, stopping_ = false, was_ready_ = false;
+  // What has happened since the last settle: to a stream, to what the module knows, to the roster.
+  bool due_ = true, noted_ = true, listed_ = true;
+  Millis made_at_ = 0;  // when the offers were worked out last
+  bool stopping_ = false, was_ready_ = false;
+  std::set<Abilities> offered_;
   std::optional<links::Timers::Handle> wake_;
   Millis wake_time_ = 0;
   keep::Keeper keeper_;
--- a/src/control/streams.cpp
+++ b/src/control/streams.cpp
@@ -22,6 +22,9 @@
 constexpr Millis kFirstPause = 1000, kLongestPause = 60000;
 // A proxy that took longer than a lease allows for is not trusted with leases for so long.
 constexpr Millis kDistrust = 30000;
+// Offers of which it is remembered what they changed: more than proxies leave unanswered in the ordinary
+// course.
+constexpr std::size_t kRemembered = 128;
 constexpr std::size_t kLongestReason = 512;
 
 bool whole_state(Kind kind) { return kind == Kind::clusters || kind == Kind::listeners; }
@@ -83,17 +86,56 @@
   return all;
 }
 
+// Only streams for which something has changed are looked at, and only for that.
 void Streams::offer(std::map<Abilities, std::shared_ptr<const Offer>> offers) {
-  for (auto& [id, stream] : streams_) {
-    const auto was = offers_.find(stream.abilities), is = offers.find(stream.abilities);
-    if (was == offers_.end() || is == offers.end() || was->second != is->second) stream.dirty = true;
+  std::erase_if(current_, [&offers](const auto& item) { return !offers.contains(item.first); });
+  for (auto& [abilities, offer] : offers) {
+    Current& current = current_[abilities];
+    Past past{last_serial_ + 1, {}};
+    bool differs =
+        !current.offer || current.offer->ready != offer->ready || current.offer->revision != offer->revision;
+    for (std::size_t kind = 0; current.offer && kind < kKinds; ++kind) {
+      const auto& before = current.offer->resources[kind];
+      const auto& now = offer->resources[kind];
+      for (const auto& [name, held] : now)
+        if (const auto was = before.find(name); was == before.end() || was->second != held)
+          past.names[kind].push_back(name);
+      for (const auto& [name, held] : before)
+        if (!now.contains(name)) past.names[kind].push_back(name);
+      differs |= !past.names[kind].empty();
+    }
+    if (current.offer && current.offer->withheld != offer->withheld) {
+      auto& names = past.names[static_cast<std::size_t>(Kind::endpoints)];
+      for (const auto* of : {&current.offer->withheld, &offer->withheld})
+        names.insert(names.end(), of->begin(), of->end());
+      differs = true;
+    }
+    if (!differs) continue;
+    current.serial = ++last_serial_;
+    if (current.offer) current.past.push_back(std::move(past));
+    if (current.past.size() > kRemembered) current.past.pop_front();
+    current.offer = std::move(offer);
+    for (auto& [id, stream] : streams_)
+      if (stream.abilities == abilities) stream.dirty = true;
   }
-  offers_ = std::move(offers);
 }
 
-const Offer* Streams::offer_for(const Stream& stream) const {
-  const auto found = offers_.find(stream.abilities);
-  return found == offers_.end() || !found->second->ready ? nullptr : found->second.get();
+const Streams::Current* Streams::standing_for(const Stream& stream) const {
+  const auto found = current_.find(stream.abilities);
+  return found == current_.end() || !found->second.offer->ready ? nullptr : &found->second;
+}
+
+// The names that have changed since the stream lacked nothing; none: that is not known any more.
+std::optional<std::set<std::string>> Streams::changed(const OfKind& kind, std::size_t place,
+                                                      const Current& current) const {
+  if (kind.clean_at == 0) return std::nullopt;
+  if (kind.clean_at != current.serial &&
+      (current.past.empty() || kind.clean_at < current.past.front().serial))
+    return std::nullopt;
+  std::set<std::string> names;
+  for (auto at = current.past.rbegin(); at != current.past.rend() && at->serial > kind.clean_at; ++at)
+    names.insert(at->names[place].begin(), at->names[place].end());
+  return names;
 }
 
 void Streams::hear(StreamId id, Heard heard, Millis now) {
@@ -119,6 +161,8 @@
       if (stream.form == Form::whole) return;
     }
     if (out) answered(id, stream, kind, heard, now);
+    // Clusters that only older routes led to may go now.
+    if (out && heard.kind == Kind::routes) of(stream, Kind::clusters).clean_at = 0;
   }
   if (stream.form == Form::changes) come_with(stream, kind, heard);
   ask(stream, kind, heard);
@@ -145,6 +189,7 @@
     if (taken && !last) continue;
     kind.pause = taken ? 0 : std::clamp(kind.pause * 2, kFirstPause, kLongestPause);
     kind.pause_until = taken ? 0 : now + kind.pause;
+    if (!taken) kind.clean_at = 0;
     if (!taken) notices_.push_back({id, "turned down", heard.turned_down->substr(0, kLongestReason)});
   }
 }
@@ -159,6 +204,13 @@
 
 void Streams::ask(Stream& stream, OfKind& kind, const Heard& heard) {
   const bool first = !std::exchange(kind.asked, true);
+  const bool other =
+      first || !heard.no_more.empty() ||
+      (stream.form == Form::changes
+           ? !heard.names.empty()
+           : !std::ranges::equal(std::set(heard.names.begin(), heard.names.end()), kind.names));
+  if (!other) return;
+  kind.clean_at = 0;
   if (stream.form == Form::whole) {
     std::set<std::string> names(heard.names.begin(), heard.names.end());
     // No names at first: everything, as long as none are named. "*" says so in words.
@@ -194,7 +246,8 @@
 // is remembered, so that it is told when that is gone.
 void Streams::come_with(Stream& stream, OfKind& kind, const Heard& heard) {
   if (kind.asked || heard.holds.empty()) return;
-  const Offer* offer = offer_for(stream);
+  const Current* current = standing_for(stream);
+  const Offer* offer = current ? current->offer.get() : nullptr;
   std::size_t counted = 0;
   for (const auto& [name, text] : heard.holds) {
     if (name.size() > bounds_.name_length || ++counted > bounds_.names)
@@ -215,24 +268,29 @@
   return text_of({resource.revision, epoch_, resource.version, service_});
 }
 
-// What the proxy is to have of a kind.
-std::map<std::string, Held> Streams::wanted(const Stream& stream, Kind kind, const Offer& offer) const {
+// What the proxy is to have under a name; null: nothing.
+Held Streams::wanted(const Stream& stream, Kind kind, const Offer& offer, const std::string& name) const {
   const OfKind& of_kind = of(stream, kind);
+  if (!of_kind.all && !of_kind.names.contains(name)) return nullptr;
   const auto& resources = offer.resources[static_cast<std::size_t>(kind)];
-  std::map<std::string, Held> wanted;
-  if (of_kind.all) wanted = resources;
-  for (const std::string& name : of_kind.names)
-    if (const auto found = resources.find(name); found != resources.end()) wanted.insert(*found);
-  if (kind == Kind::clusters && of_kind.all) {
-    // Break only after make: a cluster that routes still lead to, as far as the proxy has taken, stays.
-    for (const auto& [name, has] : of(stream, Kind::routes).has)
-      for (const Held& held : {has.sent, has.taken})
-        if (held)
-          for (const std::string& cluster : clusters_in(*held))
-            if (const auto kept = of_kind.has.find(cluster); kept != of_kind.has.end() && kept->second.sent)
-              wanted.try_emplace(cluster, kept->second.sent);
-  }
-  return wanted;
+  if (const auto found = resources.find(name); found != resources.end()) return found->second;
+  if (kind != Kind::clusters || !of_kind.all) return nullptr;
+  // Break only after make: a cluster that routes still lead to, as far as the proxy has taken, stays.
+  const auto kept = of_kind.has.find(name);
+  if (kept == of_kind.has.end() || !kept->second.sent) return nullptr;
+  for (const auto& [routes, has] : of(stream, Kind::routes).has)
+    for (const Held& held : {has.sent, has.taken})
+      if (held && clusters_in(*held).contains(name)) return kept->second.sent;
+  return nullptr;
+}
+
+std::set<std::string> Streams::all_names(const Stream& stream, Kind kind, const Offer& offer) const {
+  const OfKind& of_kind = of(stream, kind);
+  std::set<std::string> names = of_kind.names;
+  for (const auto& [name, has] : of_kind.has) names.insert(name);
+  if (of_kind.all)
+    for (const auto& [name, held] : offer.resources[static_cast<std::size_t>(kind)]) names.insert(name);
+  return names;
 }
 
 // Make before break: routes wait until the proxy has taken the clusters they lead to, and what stands in
@@ -255,66 +313,70 @@
   return false;
 }
 
-std::optional<Write> Streams::difference(StreamId id, Stream& stream, Kind kind, const Offer& offer,
+std::optional<Write> Streams::difference(StreamId id, Stream& stream, Kind kind, const Current& current,
                                          bool urgent_only, Millis now) {
+  const Offer& offer = *current.offer;
+  const std::size_t place = static_cast<std::size_t>(kind);
   OfKind& has = of(stream, kind);
   if (!has.asked || has.out.size() >= (urgent_only ? kUnanswered : 1)) return std::nullopt;
+  const bool full = stream.form == Form::whole && whole_state(kind);
+  const std::optional<std::set<std::string>> since = changed(has, place, current);
+  if (since && since->empty()) return std::nullopt;
   if (!urgent_only && kind == Kind::routes && waits_for_clusters(stream, offer)) return std::nullopt;
-  const std::map<std::string, Held> wants = wanted(stream, kind, offer);
+  if (!urgent_only && now < has.pause_until) return look_again(stream, has.pause_until), std::nullopt;
+
   Write write{id, kind, {}, {}, {}, {}, false};
-  const bool full = stream.form == Form::whole && whole_state(kind);
-  bool differs = false, changed = false;
-  std::vector<Write::Item> renewals;
-  for (const auto& [name, held] : wants) {
+  bool differs = false, renews = false, cut = false;
+  std::vector<std::string> missing;
+  for (const std::string& name : since && !full ? *since : all_names(stream, kind, offer)) {
     const auto found = has.has.find(name);
     const Has* of_name = found == has.has.end() ? nullptr : &found->second;
-    const Held sent = of_name ? of_name->sent : nullptr;
-    const Millis left = held->until < 0 ? -1 : held->until - now;
-    const bool leased = stream.abilities.expiry == Expiry::time_to_live && held->until >= 0;
-    const Millis time_to_live = leased ? std::max(1.0, left - bounds_.transit) : -1;
-    if (sent && sent->version == held->version) {
-      if (full) write.items.push_back({held, time_to_live, true});
-      if (!full && leased && held->until > sent->until) renewals.push_back({held, time_to_live, false});
+    const Held held = wanted(stream, kind, offer, name);
+    if (!held) {
+      // Asked for and not there: told once, where the form has words for it. What is only withheld is not
+      // gone.
+      const bool told =
+          stream.form == Form::changes && (has.told_missing.contains(name) || !has.names.contains(name));
+      if (!offer.withheld.contains(name) && (of_name || (stream.form == Form::changes && !told)))
+        missing.push_back(name);
       continue;
     }
-    // It has been turned down as it is; only another one is tried.
-    if (of_name && of_name->turned_down == held->version && !full) continue;
+    const Held sent = of_name ? of_name->sent : nullptr;
+    const bool leased = stream.abilities.expiry == Expiry::time_to_live && held->until >= 0;
+    const Millis time_to_live = leased ? std::max(1.0, held->until - now - bounds_.transit) : -1;
+    const bool same = sent && sent->version == held->version;
+    const bool renewed = same && leased && held->until > sent->until;
+    // What has been turned down is not tried as it is; only another one is.
+    const bool again = !full && of_name && of_name->turned_down == held->version;
+    if ((same && !renewed && !full) || again) continue;
     const bool urgent = kind == Kind::endpoints && sent && held->revoked > sent->version;
     if (urgent_only && !urgent) continue;
-    differs = changed = true, write.urgent = write.urgent || urgent;
-    write.items.push_back({held, time_to_live, true});
-    if (!full && write.items.size() >= kOfOneResponse) break;
+    if (!full && write.items.size() >= kOfOneResponse) {
+      cut = true;
+      break;
+    }
+    differs |= !same, renews |= renewed, write.urgent |= urgent;
+    write.items.push_back({held, time_to_live, full || !renewed});
   }
   if (urgent_only && !write.urgent) return std::nullopt;
   if (!urgent_only) {
-    if (now < has.pause_until) return look_again(stream, has.pause_until), std::nullopt;
-    for (Write::Item& item : renewals)
-      if (write.items.size() < kOfOneResponse) write.items.push_back(std::move(item)), differs = true;
-    std::vector<std::string> missing;
-    for (const auto& [name, of_name] : has.has)
-      if (!wants.contains(name) && !offer.withheld.contains(name)) missing.push_back(name);
-    if (stream.form == Form::changes) {
-      for (const std::string& name : has.names)
-        if (!wants.contains(name) && !offer.withheld.contains(name) && !has.told_missing.contains(name))
-          missing.push_back(name);
-      std::ranges::sort(missing);
-      missing.erase(std::unique(missing.begin(), missing.end()), missing.end());
-      for (const std::string& name : missing)
-        if (write.removed.size() < kOfOneResponse)
-          write.removed.push_back(name), has.told_missing.insert(name);
-      differs |= !write.removed.empty();
-      for (const std::string& name : write.removed) has.has.erase(name);
-    } else {
-      differs |= full && !missing.empty();
-      for (const std::string& name : missing) has.has.erase(name);
+    for (const std::string& name : missing) {
+      if (stream.form == Form::changes && write.removed.size() >= kOfOneResponse) {
+        cut = true;
+        break;
+      }
+      if (stream.form == Form::changes) write.removed.push_back(name), has.told_missing.insert(name);
+      has.has.erase(name);
     }
+    differs |= !write.removed.empty() || (full && !missing.empty());
+    // What is written now leaves nothing lacking but for an answer.
+    has.clean_at = cut ? 0 : current.serial;
   }
+  if (!(differs || renews) || (full && write.items.empty())) return std::nullopt;
   // Turned down as it stood, the whole state is sent again only when it has become another.
-  if (full && differs && has.whole == offer.versions[static_cast<std::size_t>(kind)] && has.pause > 0)
-    return std::nullopt;
-  if (!differs || (full && write.items.empty())) return std::nullopt;
-  if (full || changed) has.whole = offer.versions[static_cast<std::size_t>(kind)];
-  write.version = text_of({offer.revision, epoch_, offer.versions[static_cast<std::size_t>(kind)], service_});
+  if (full && has.whole == offer.versions[place] && has.pause > 0) return std::nullopt;
+  has.whole = offer.versions[place];
+  write.version = text_of({offer.revision, epoch_, offer.versions[place], service_});
   write.nonce = has.last_nonce = fmt::format("{}.{}", id.number, ++stream.nonces);
   Response response{write.nonce, now, false, {}};
   for (const Write::Item& item : write.items) {
@@ -337,11 +399,13 @@
     notices_.push_back({id, trusted ? "trusted with leases" : "not trusted with leases",
                         trusted ? "" : "its answers come late"});
     stream.abilities = abilities;
+    for (OfKind& kind : stream.kinds) kind.clean_at = 0;
     look_again(stream, now);
   }
   if (!trusted) look_again(stream, stream.distrusted_until);
-  const Offer* offer = offer_for(stream);
-  if (!offer) return std::nullopt;
+  const Current* current = standing_for(stream);
+  if (!current) return std::nullopt;
+  const Offer* offer = current->offer.get();
   // Guards against bringing a drained member back: a proxy that comes from another service, or from before a
   // crash, and knows a newer list than ours keeps what it has until we know as much.
   if (offer->revision < stream.must_reach) {
@@ -354,7 +418,7 @@
   for (const Kind kind : urgent_only
                              ? std::vector{Kind::endpoints}
                              : std::vector{Kind::clusters, Kind::endpoints, Kind::listeners, Kind::routes})
-    if (auto write = difference(id, stream, kind, *offer, urgent_only, now)) return write;
+    if (auto write = difference(id, stream, kind, *current, urgent_only, now)) return write;
   return std::nullopt;
 }
 
--- a/src/control/streams.hpp
+++ b/src/control/streams.hpp
@@ -121,6 +121,8 @@
     std::deque<Response> out;  // not yet answered
     std::string last_nonce;
     std::uint64_t whole = 0;  // the version of the kind that was sent last
+    // The offer of which it lacks nothing but what an answer is owed for; 0: all has to be looked at.
+    std::uint64_t clean_at = 0;
     Millis pause_until = 0, pause = 0;
   };
   struct Stream {
@@ -141,14 +143,28 @@
   const OfKind& of(const Stream& stream, Kind kind) const {
     return stream.kinds[static_cast<std::size_t>(kind)];
   }
-  const Offer* offer_for(const Stream& stream) const;
+  // What an offer changed, by kind, of the one before for the same abilities.
+  struct Past {
+    std::uint64_t serial = 0;
+    std::array<std::vector<std::string>, kKinds> names;
+  };
+  struct Current {
+    std::shared_ptr<const Offer> offer;
+    std::uint64_t serial = 0;
+    std::deque<Past> past;
+  };
+
+  const Current* standing_for(const Stream& stream) const;
   void answered(StreamId id, Stream& stream, OfKind& kind, const Heard& heard, Millis now);
   void ask(Stream& stream, OfKind& kind, const Heard& heard);
   void come_with(Stream& stream, OfKind& kind, const Heard& heard);
   void trust(Stream& stream, Millis took, Millis now);
-  std::map<std::string, Held> wanted(const Stream& stream, Kind kind, const Offer& offer) const;
+  Held wanted(const Stream& stream, Kind kind, const Offer& offer, const std::string& name) const;
+  std::set<std::string> all_names(const Stream& stream, Kind kind, const Offer& offer) const;
+  std::optional<std::set<std::string>> changed(const OfKind& kind, std::size_t place,
+                                               const Current& current) const;
   bool waits_for_clusters(const Stream& stream, const Offer& offer) const;
-  std::optional<Write> difference(StreamId id, Stream& stream, Kind kind, const Offer& offer,
+  std::optional<Write> difference(StreamId id, Stream& stream, Kind kind, const Current& current,
                                   bool urgent_only, Millis now);
   std::optional<Write> difference(StreamId id, Stream& stream, bool urgent_only, Millis now);
   std::string version_of(const Resource& resource) const;
@@ -161,7 +177,8 @@
   const std::string service_;
   const std::uint64_t epoch_;
   std::map<StreamId, Stream> streams_;
-  std::map<Abilities, std::shared_ptr<const Offer>> offers_;
+  std::map<Abilities, Current> current_;
+  std::uint64_t last_serial_ = 0;
   std::vector<Notice> notices_;
   Counts counts_;
   Millis due_ = -1;
