Proxies that come back hear first of their endpoints, the last changes first

Cause: at a reconnect of all proxies a drain waited behind clusters and behind assignments that had not changed.

--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -88,7 +88,7 @@
     proxies.push_back(std::make_unique<Proxy>(fmt::format("p{:04}", i), service.target(), can, names, look));
   const std::string last_any = fmt::format("group-{}.any", groups - 1);
   for (auto& proxy : proxies)
-    if (!proxy->wait([&](const Proxy& p) { return p.assignment(last_any).has_value(); }, 120000)) {
+    if (!proxy->wait([&](const Proxy& p) { return p.assignments().size() == names.size(); }, 120000)) {
       std::cout << "not all proxies were told\n";
       return 1;
     }
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -141,10 +141,11 @@
   if (std::exchange(noted_, false))
     for (const Decision& decision : router_->settle(now))
       std::visit([this](const auto& taken) { carry_out(taken); }, decision);
+  const bool listed = listed_;
   hand_out(now);
   // After what was handed out: proxies that know a newer list than a service does are left with it, so a
   // crash in between brings nothing back.
-  keep_roster();
+  if (listed) keep_roster();
 }
 
 void Service::hand_out(Millis now) {
--- a/src/control/streams.cpp
+++ b/src/control/streams.cpp
@@ -25,6 +25,8 @@
 // Offers of which it is remembered what they changed: more than proxies leave unanswered in the ordinary
 // course.
 constexpr std::size_t kRemembered = 128;
+// In which a proxy that comes back says all that it asks for: some round trips.
+constexpr Millis kMoment = 50;
 constexpr std::size_t kLongestReason = 512;
 
 bool whole_state(Kind kind) { return kind == Kind::clusters || kind == Kind::listeners; }
@@ -149,8 +151,10 @@
       if (name.empty() || name.size() > bounds_.name_length)
         return void(stream.end = fmt::format("a name of {} bytes", name.size()));
   if (!kind.asked || heard.nonce.empty()) {
-    if (const auto version = version_in(heard.version))
+    if (const auto version = version_in(heard.version)) {
       stream.must_reach = std::max(stream.must_reach, version->revision);
+      stream.returns |= version->service == service_;
+    }
   }
   if (!heard.nonce.empty()) {
     const bool out = std::ranges::any_of(kind.out, [&](const Response& r) { return r.nonce == heard.nonce; });
@@ -204,12 +208,15 @@
 
 void Streams::ask(Stream& stream, OfKind& kind, const Heard& heard) {
   const bool first = !std::exchange(kind.asked, true);
-  const bool other =
-      first || !heard.no_more.empty() ||
-      (stream.form == Form::changes
-           ? !heard.names.empty()
-           : !std::ranges::equal(std::set(heard.names.begin(), heard.names.end()), kind.names));
-  if (!other) return;
+  // Most answers ask for what was asked for before. (One that repeats names is told of more than it asks
+  // for.)
+  const bool same = stream.form == Form::changes
+                        ? heard.names.empty()
+                        : heard.names.size() == kind.names.size() &&
+                              std::ranges::all_of(heard.names, [&kind](const std::string& name) {
+                                return kind.names.contains(name);
+                              });
+  if (!first && same && heard.no_more.empty()) return;
   kind.clean_at = 0;
   if (stream.form == Form::whole) {
     std::set<std::string> names(heard.names.begin(), heard.names.end());
@@ -255,6 +262,7 @@
     const auto version = version_in(text);
     if (!version) continue;
     stream.must_reach = std::max(stream.must_reach, version->revision);
+    stream.returns |= version->service == service_;
     Has& has = kind.has[name];
     if (!offer) continue;
     const auto& resources = offer->resources[static_cast<std::size_t>(heard.kind)];
@@ -321,7 +329,10 @@
   if (!has.asked || has.out.size() >= (urgent_only ? kUnanswered : 1)) return std::nullopt;
   const bool full = stream.form == Form::whole && whole_state(kind);
   const std::optional<std::set<std::string>> since = changed(has, place, current);
-  if (since && since->empty()) return std::nullopt;
+  if (since && since->empty()) {
+    if (!urgent_only) has.clean_at = current.serial;
+    return std::nullopt;
+  }
   if (!urgent_only && kind == Kind::routes && waits_for_clusters(stream, offer)) return std::nullopt;
   if (!urgent_only && now < has.pause_until) return look_again(stream, has.pause_until), std::nullopt;
 
@@ -351,14 +362,17 @@
     if ((same && !renewed && !full) || again) continue;
     const bool urgent = kind == Kind::endpoints && sent && held->revoked > sent->version;
     if (urgent_only && !urgent) continue;
-    if (!full && write.items.size() >= kOfOneResponse) {
-      cut = true;
-      break;
-    }
     differs |= !same, renews |= renewed, write.urgent |= urgent;
     write.items.push_back({held, time_to_live, full || !renewed});
   }
   if (urgent_only && !write.urgent) return std::nullopt;
+  if (!full && write.items.size() > kOfOneResponse) {
+    // The last changes first: of what a proxy that comes back lacks, those are the ones it can't know.
+    std::ranges::stable_sort(write.items, std::greater(),
+                             [](const Write::Item& item) { return item.resource->version; });
+    write.items.resize(kOfOneResponse);
+    cut = true;
+  }
   if (!urgent_only) {
     for (const std::string& name : missing) {
       if (stream.form == Form::changes && write.removed.size() >= kOfOneResponse) {
@@ -415,7 +429,13 @@
         {id, "older list told", fmt::format("ours {}, the proxy's {}", offer->revision, stream.must_reach)});
     stream.must_reach = 0;
   }
-  for (const Kind kind : urgent_only
+  // A proxy that comes back has clusters and routes already. What it must hear soonest is who has been taken
+  // away since, so its endpoints go first, if it asks for any within a moment.
+  const bool endpoints_first =
+      stream.returns && of(stream, Kind::endpoints).last_nonce.empty() && now < stream.opened + kMoment;
+  if (endpoints_first) look_again(stream, stream.opened + kMoment);
+  const bool endpoints_only = urgent_only || endpoints_first;
+  for (const Kind kind : endpoints_only
                              ? std::vector{Kind::endpoints}
                              : std::vector{Kind::clusters, Kind::endpoints, Kind::listeners, Kind::routes})
     if (auto write = difference(id, stream, kind, *current, urgent_only, now)) return write;
@@ -438,6 +458,7 @@
 // What takes something away goes out first, to every proxy; then a bounded part of the rest.
 std::vector<Act> Streams::settle(Millis now) {
   std::vector<Act> acts;
+  acts.reserve(2 * streams_.size() + notices_.size() + 8);
   for (auto& [id, stream] : streams_) {
     stream.dirty |= stream.again >= 0 && now >= stream.again;
     if (stream.dirty) stream.again = -1;
@@ -457,19 +478,19 @@
       }
       ++written, ++counts_.responses, counts_.urgent += urgent;
       stream.writing = true, stream.written_at = now;
-      acts.push_back(std::move(*write));
+      acts.emplace_back(std::in_place_type<Write>, std::move(*write));
     }
   }
   due_ = -1;
   for (auto& [id, stream] : streams_) {
     if (!stream.end) judge_slow(stream, now);
     if (stream.end && !stream.end->empty()) {
-      acts.push_back(End{id, *stream.end});
+      acts.emplace_back(std::in_place_type<End>, End{id, *stream.end});
       stream.end = "";
     }
     if (!stream.end && stream.again >= 0) due_ = due_ < 0 ? stream.again : std::min(due_, stream.again);
   }
-  for (Notice& notice : std::exchange(notices_, {})) acts.push_back(std::move(notice));
+  for (Notice& notice : std::exchange(notices_, {})) acts.emplace_back(std::in_place_type<Notice>, std::move(notice));
   return acts;
 }
 
--- a/src/control/streams.hpp
+++ b/src/control/streams.hpp
@@ -130,6 +130,7 @@
     Abilities abilities, can;  // can: what it said it can, abilities: what it is trusted with now
     std::array<OfKind, kKinds> kinds;
     bool writing = false, dirty = true;
+    bool returns = false;  // it comes with what this service told it before
     Millis written_at = 0, opened = 0;
     long long must_reach = 0;  // a list that the proxy knows
     Millis distrusted_until = 0;
--- a/standins/proxies.cpp
+++ b/standins/proxies.cpp
@@ -75,7 +75,7 @@
     for (const std::string& feature : proxy_.can_.features)
       message.mutable_node()->add_client_features(feature);
     if constexpr (kWhole) {
-      if (type == kEndpoints) message.set_version_info(proxy_.version_);
+      message.set_version_info(type == kEndpoints ? proxy_.version_ : proxy_.clusters_version_);
       for (const std::string& name : names) message.add_resource_names(name);
     } else {
       for (const std::string& name : names) message.add_resource_names_subscribe(name);
@@ -104,7 +104,8 @@
       const std::lock_guard lock(proxy_.mutex_);
       if constexpr (kWhole) {
         if (in_.type_url() == kEndpoints) proxy_.version_ = in_.version_info();
-        if (in_.type_url() == kClusters) proxy_.clusters_.clear();
+        if (in_.type_url() == kClusters)
+          proxy_.clusters_.clear(), proxy_.clusters_version_ = in_.version_info();
         for (const auto& any : in_.resources()) {
           discovery::Resource wrapped;
           if (any.UnpackTo(&wrapped))
--- a/standins/proxies.hpp
+++ b/standins/proxies.hpp
@@ -92,7 +92,7 @@
   std::map<std::string, std::string> versions_;  // of assignments, in the form of changes
   std::map<std::string, double> ends_;           // by time to live
   std::vector<std::string> clusters_;
-  std::string version_, status_;
+  std::string version_, clusters_version_, status_;
   std::atomic<int> opened_{0};
   std::atomic<std::size_t> bytes_{0}, responses_{0};
   bool stopping_ = false;
