Responses are put into bytes off the loop, and 64 a turn: probes are not kept waiting

Cause: one drain to 1,000 proxies kept the loop for 150 to 250 ms; probes ran out of their time meanwhile, members looked down, and that was pushed to all proxies in turn.

--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <map>
+#include <mutex>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -54,13 +55,17 @@
 
     // On the loop.
     void read_on() override { this->StartRead(&in_); }
+    void finish(const grpc::Status& status) override {
+      const std::lock_guard lock(mutex_);
+      if (!std::exchange(finished, true)) this->Finish(status);
+    }
+    // On the writers' threads; one at a time.
     void write(Response response) {
+      const std::lock_guard lock(mutex_);
+      if (finished) return;
       out_ = std::move(response);
       this->StartWrite(&out_);
     }
-    void finish(const grpc::Status& status) override {
-      if (!std::exchange(finished, true)) this->Finish(status);
-    }
 
     // On gRPC's threads.
     void OnReadDone(bool ok) override {
@@ -81,6 +86,7 @@
     Impl* server_ = nullptr;
     Form form_ = Form::whole;
     StreamId id_;
+    std::mutex mutex_;  // nothing is written once it has been finished
     Message in_;
     Response out_;
     std::shared_ptr<LinkOf> self_;  // until gRPC is done with it
@@ -126,6 +132,7 @@
 
   ~Impl() {
     if (stopper_.joinable()) stopper_.join();
+    writers_.join();
     if (server_) server_->Shutdown(std::chrono::system_clock::now());
     // What gRPC's threads still hand over is not run any more.
   }
@@ -155,7 +162,9 @@
   void write(StreamId id, Response response) {
     const auto found = links_.find(id);
     if (found == links_.end() || found->second->finished) return;
-    static_cast<Of&>(*found->second).write(std::move(response));
+    asio::post(writers_, [link = found->second, response = std::move(response)]() mutable {
+      static_cast<Of&>(*link).write(std::move(response));
+    });
   }
 
   void end(StreamId id, const std::string& why) {
@@ -233,6 +242,9 @@
   std::map<StreamId, std::shared_ptr<Link>> links_;  // on the loop only
   asio::steady_timer sweep_;
   bool stopping_ = false;
+  // Responses are put into bytes here: on the loop a thousand of them would keep probes waiting beyond their
+  // time, and members that look down for that are more to write.
+  asio::thread_pool writers_{2};
   std::unique_ptr<grpc::Server> server_;
   std::thread stopper_;
 };
--- a/src/control/streams.cpp
+++ b/src/control/streams.cpp
@@ -13,8 +13,9 @@
 // Assignments in one response. Guards against a drain that waits behind one huge response: the largest takes
 // about as long as a small one does.
 constexpr std::size_t kOfOneResponse = 64;
-// Responses of one turn, after those that take something away: what is left waits for the next turn.
-constexpr std::size_t kOfOneTurn = 256;
+// Responses of one turn, those that take something away before others: what is left waits for the next turn,
+// so that probes are not kept waiting by a thousand proxies.
+constexpr std::size_t kOfOneTurn = 64;
 // Responses of a kind that a proxy may owe an answer to. One in the ordinary course; more only while each
 // takes something away.
 constexpr std::size_t kUnanswered = 8;
@@ -463,11 +464,11 @@
     stream.dirty |= stream.again >= 0 && now >= stream.again;
     if (stream.dirty) stream.again = -1;
   }
+  std::size_t written = 0;
   for (const bool urgent : {true, false}) {
-    std::size_t written = 0;
     for (auto& [id, stream] : streams_) {
       if (stream.end || stream.writing || !stream.dirty) continue;
-      if (!urgent && written >= kOfOneTurn) {
+      if (written >= kOfOneTurn) {
         look_again(stream, now);
         continue;
       }
@@ -490,7 +491,8 @@
     }
     if (!stream.end && stream.again >= 0) due_ = due_ < 0 ? stream.again : std::min(due_, stream.again);
   }
-  for (Notice& notice : std::exchange(notices_, {})) acts.emplace_back(std::in_place_type<Notice>, std::move(notice));
+  for (Notice& notice : std::exchange(notices_, {}))
+    acts.emplace_back(std::in_place_type<Notice>, std::move(notice));
   return acts;
 }
 
