--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -110,8 +110,8 @@
     Impl& server_;
   };
 
-  Impl(asio::io_context& loop, const Charge& charge, Hearer& hearer)
-      : loop_(loop), hearer_(hearer), handed_(*this), sweep_(loop) {
+  Impl(asio::io_context& loop, const Charge& charge, std::uint64_t epoch, Hearer& hearer)
+      : loop_(loop), hearer_(hearer), encoder_(charge.name, epoch), handed_(*this), sweep_(loop) {
     grpc::ServerBuilder builder;
     builder.AddListeningPort(charge.listen, credentials(charge), &port_);
     builder.RegisterService(&handed_);
@@ -158,12 +158,14 @@
     link.read_on();
   }
 
-  template <typename Of, typename Response>
-  void write(StreamId id, Response response) {
-    const auto found = links_.find(id);
+  void write(Form form, Write write) {
+    const auto found = links_.find(write.stream);
     if (found == links_.end() || found->second->finished) return;
-    asio::post(writers_, [link = found->second, response = std::move(response)]() mutable {
-      static_cast<Of&>(*link).write(std::move(response));
+    asio::post(writers_, [this, form, link = found->second, write = std::move(write)] {
+      if (form == Form::whole)
+        static_cast<Whole&>(*link).write(encoder_.whole(write));
+      else
+        static_cast<Changes&>(*link).write(encoder_.changes(write));
     });
   }
 
@@ -236,6 +238,7 @@
 
   asio::io_context& loop_;
   Hearer& hearer_;
+  xds::Encoder encoder_;
   Handed handed_;
   std::atomic<std::uint64_t> last_id_ = 0;
   StreamId seen_;
@@ -249,15 +252,10 @@
   std::thread stopper_;
 };
 
-Server::Server(asio::io_context& loop, const Charge& charge, Hearer& hearer)
-    : impl_(std::make_unique<Impl>(loop, charge, hearer)) {}
+Server::Server(asio::io_context& loop, const Charge& charge, std::uint64_t epoch, Hearer& hearer)
+    : impl_(std::make_unique<Impl>(loop, charge, epoch, hearer)) {}
 Server::~Server() = default;
-void Server::write(StreamId id, discovery::DiscoveryResponse response) {
-  impl_->write<Impl::Whole>(id, std::move(response));
-}
-void Server::write(StreamId id, discovery::DeltaDiscoveryResponse response) {
-  impl_->write<Impl::Changes>(id, std::move(response));
-}
+void Server::write(Form form, Write write) { impl_->write(form, std::move(write)); }
 void Server::end(StreamId id, const std::string& why) { impl_->end(id, why); }
 void Server::stop() { impl_->stop(); }
 bool Server::stopped() const { return impl_->stopped_; }
--- a/src/control/server.hpp
+++ b/src/control/server.hpp
@@ -27,12 +27,11 @@
 class Server {
  public:
   // Throws std::runtime_error where it can't listen.
-  Server(asio::io_context& loop, const Charge& charge, Hearer& hearer);
+  Server(asio::io_context& loop, const Charge& charge, std::uint64_t epoch, Hearer& hearer);
   ~Server();
 
   // On the loop.
-  void write(StreamId id, xds::discovery::DiscoveryResponse response);
-  void write(StreamId id, xds::discovery::DeltaDiscoveryResponse response);
+  void write(Form form, Write write);
   void end(StreamId id, const std::string& why);
   // Ends all streams; the loop has to run on until stopped.
   void stop();
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -43,7 +43,6 @@
       router_(make_router(charge_.placement.values, charge_.placement.seed)),
       offering_(charge_.types, charge_.leases, charge_.first_answer),
       streams_(charge_.streams, charge_.name, epoch_),
-      encoder_(charge_.name, epoch_),
       members_(
           io_, timers_, clock_, log_, charge_.placement, [](SendEnded, std::string) {},
           [this](ProbeEnded ended) {
@@ -53,7 +52,7 @@
       list_(io_, timers_, clock_, log_, charge_.placement,
             [this](links::StoreList list) { list_read(std::move(list)); }),
       keeper_(store_, [this](std::string fault) { asio::post(io_, [this, fault] { kept(fault); }); }),
-      server_(io_, charge_, *this) {}
+      server_(io_, charge_, epoch_, *this) {}
 
 // The roster as the store held it, kept again at once under the number of this start. Guards against versions
 // that go back: a generation's number is never given twice, whatever of its content is damaged.
@@ -258,10 +257,7 @@
 void Service::carry_out(const Write& write) {
   const auto proxy = proxies_.find(write.stream);
   if (proxy == proxies_.end()) return;
-  if (proxy->second.form == Form::whole)
-    server_.write(write.stream, encoder_.whole(write));
-  else
-    server_.write(write.stream, encoder_.changes(write));
+  server_.write(proxy->second.form, write);
 }
 
 void Service::carry_out(const End& end) {
--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -80,7 +80,6 @@
   std::unique_ptr<Router> router_;
   Offering offering_;
   Streams streams_;
-  xds::Encoder encoder_;
   links::Members members_;
   links::List list_;
   std::map<StreamId, Proxy> proxies_;
--- a/src/control/xds.cpp
+++ b/src/control/xds.cpp
@@ -199,13 +199,14 @@
   return heard;
 }
 
-const std::string& Encoder::encoded(const Resource& resource) {
+std::shared_ptr<const std::string> Encoder::encoded(const Resource& resource) {
+  const std::lock_guard lock(mutex_);
   const auto found = encoded_.find(resource.version);
   if (found != encoded_.end()) return found->second;
   while (encoded_.size() >= kEncoded) encoded_.erase(encoded_.begin());
-  std::string& bytes = encoded_[resource.version];
-  std::visit([&](const auto& body) { encode(body, resource, bytes); }, resource.body);
-  return bytes;
+  auto bytes = std::make_shared<std::string>();
+  std::visit([&](const auto& body) { encode(body, resource, *bytes); }, resource.body);
+  return encoded_[resource.version] = std::move(bytes);
 }
 
 discovery::DiscoveryResponse Encoder::whole(const Write& write) {
@@ -218,7 +219,7 @@
     google::protobuf::Any& any = *response.add_resources();
     if (item.time_to_live < 0) {
       any.set_type_url(type_url_of(write.kind));
-      any.set_value(encoded(*item.resource));
+      any.set_value(*encoded(*item.resource));
       continue;
     }
     discovery::Resource wrapped;
@@ -227,7 +228,7 @@
     set(*wrapped.mutable_ttl(), item.time_to_live);
     if (item.body) {
       wrapped.mutable_resource()->set_type_url(type_url_of(write.kind));
-      wrapped.mutable_resource()->set_value(encoded(*item.resource));
+      wrapped.mutable_resource()->set_value(*encoded(*item.resource));
     }
     any.PackFrom(wrapped);
   }
@@ -247,7 +248,7 @@
     if (item.time_to_live >= 0) set(*row.mutable_ttl(), item.time_to_live);
     if (item.body) {
       row.mutable_resource()->set_type_url(type_url_of(write.kind));
-      row.mutable_resource()->set_value(encoded(*item.resource));
+      row.mutable_resource()->set_value(*encoded(*item.resource));
     }
   }
   for (const std::string& name : write.removed) response.add_removed_resources(name);
--- a/src/control/xds.hpp
+++ b/src/control/xds.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <map>
+#include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -29,7 +31,7 @@
 std::optional<Heard> heard_in(discovery::DiscoveryRequest&& message);
 std::optional<Heard> heard_in(discovery::DeltaDiscoveryRequest&& message);
 
-// Encodes each resource once, however many proxies are sent it.
+// Encodes each resource once, however many proxies are sent it. Any thread may ask it.
 class Encoder {
  public:
   Encoder(std::string service, std::uint64_t epoch) : service_(std::move(service)), epoch_(epoch) {}
@@ -37,11 +39,12 @@
   discovery::DeltaDiscoveryResponse changes(const Write& write);
 
  private:
-  const std::string& encoded(const Resource& resource);
+  std::shared_ptr<const std::string> encoded(const Resource& resource);
 
   const std::string service_;
   const std::uint64_t epoch_;
-  std::map<std::uint64_t, std::string> encoded_;  // by version; the oldest go first
+  std::mutex mutex_;
+  std::map<std::uint64_t, std::shared_ptr<const std::string>> encoded_;  // by version; the oldest go first
 };
 
 }  // namespace reedspindle::control::xds
