Read once more: one wrapping of resources, one text of an address, no mutable counter

The two forms of a response wrapped resources each in its own lines; now one function does. The version of a resource is put together in one place, discovery's Host by the address' own text, the tests' look for an empty roster in one function; methods that count versions up are no const; an unused argument and include are gone.

--- a/src/control/offer.cpp
+++ b/src/control/offer.cpp
@@ -190,7 +190,7 @@
   return passing.empty() && any ? beyond : passing;
 }
 
-void Offering::hand_out(Made& made, GroupId id, const Group& group) const {
+void Offering::hand_out(Made& made, GroupId id, const Group& group) {
   const std::string members = fmt::format("group-{}.members", id.number);
   const std::string primary = fmt::format("group-{}.primary", id.number);
   std::vector<Endpoint> all;
@@ -242,7 +242,7 @@
 
 // Nobody is left to hand out: what was given before is taken back by its standing, since an assignment
 // without endpoints reads as "no such server ever" at some proxies. False: nothing was given.
-bool Offering::put_as_draining(Made& made, const std::string& name) const {
+bool Offering::put_as_draining(Made& made, const std::string& name) {
   const Resource* last = made.last(Kind::endpoints, name);
   if (!last) return false;
   std::vector<Endpoint> endpoints = std::get<Assignment>(last->body).endpoints;
@@ -265,12 +265,12 @@
   }
 }
 
-void Offering::put_assignment(Made& made, const std::string& name, std::vector<Endpoint> endpoints) const {
+void Offering::put_assignment(Made& made, const std::string& name, std::vector<Endpoint> endpoints) {
   std::ranges::sort(endpoints, {}, [](const Endpoint& e) { return std::pair(e.rank, e.member); });
   put(made, Kind::endpoints, name, Assignment{std::move(endpoints)});
 }
 
-void Offering::put(Made& made, Kind kind, const std::string& name, decltype(Resource::body) body) const {
+void Offering::put(Made& made, Kind kind, const std::string& name, decltype(Resource::body) body) {
   Resource resource;
   resource.kind = kind, resource.name = name, resource.made = made.now;
   resource.revision = made.roster->revision();
--- a/src/control/offer.hpp
+++ b/src/control/offer.hpp
@@ -128,19 +128,19 @@
   struct Made;  // an offer in the making
 
   void judge_ready(const std::map<GroupId, Group>& groups, const Roster& roster, Millis now);
-  void hand_out(Made& made, GroupId id, const Group& group) const;
+  void hand_out(Made& made, GroupId id, const Group& group);
   Endpoint endpoint_of(const MemberView& view, const Roster& roster) const;
   std::vector<Endpoint> replicas(const Made& made, const Group& group, const RoutedType& type,
                                  const std::string& name) const;
-  void put(Made& made, Kind kind, const std::string& name, decltype(Resource::body) body) const;
-  void put_assignment(Made& made, const std::string& name, std::vector<Endpoint> endpoints) const;
-  bool put_as_draining(Made& made, const std::string& name) const;
+  void put(Made& made, Kind kind, const std::string& name, decltype(Resource::body) body);
+  void put_assignment(Made& made, const std::string& name, std::vector<Endpoint> endpoints);
+  bool put_as_draining(Made& made, const std::string& name);
   void see_off(Made& made, const std::map<GroupId, Group>& groups);
 
   const std::vector<RoutedType> types_;
   const Leases leases_;
   const Millis first_answer_;
-  mutable std::uint64_t last_version_ = 0;
+  std::uint64_t last_version_ = 0;
   bool ready_ = false;
   Millis known_since_ = -1;
   std::map<GroupId, Millis> ended_;  // groups without a member, and since when
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -233,7 +233,7 @@
 }
 
 void Service::written(StreamId id) {
-  streams_.written(id, clock_.now());
+  streams_.written(id);
   due_ = true;
 }
 
--- a/src/control/streams.cpp
+++ b/src/control/streams.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <tuple>
 #include <utility>
 
 namespace reedspindle::control {
@@ -63,6 +62,10 @@
   return version;
 }
 
+std::string version_of(const Resource& resource, std::uint64_t epoch, const std::string& service) {
+  return text_of({resource.revision, epoch, resource.version, service});
+}
+
 Streams::Streams(Bounds bounds, std::string service, std::uint64_t epoch)
     : bounds_(bounds), service_(std::move(service)), epoch_(epoch) {}
 
@@ -77,7 +80,7 @@
   if (streams_.erase(id) > 0) ++counts_.ended;
 }
 
-void Streams::written(StreamId id, Millis) {
+void Streams::written(StreamId id) {
   const auto found = streams_.find(id);
   if (found == streams_.end()) return;
   found->second.writing = false, found->second.dirty = true;
@@ -268,15 +271,12 @@
     if (!offer) continue;
     const auto& resources = offer->resources[static_cast<std::size_t>(heard.kind)];
     const auto known = resources.find(name);
-    if (known != resources.end() && version_of(*known->second) == text && known->second->until < 0)
+    if (known != resources.end() && version_of(*known->second, epoch_, service_) == text &&
+        known->second->until < 0)
       has.sent = has.taken = known->second;
   }
 }
 
-std::string Streams::version_of(const Resource& resource) const {
-  return text_of({resource.revision, epoch_, resource.version, service_});
-}
-
 // What the proxy is to have under a name; null: nothing.
 Held Streams::wanted(const Stream& stream, Kind kind, const Offer& offer, const std::string& name) const {
   const OfKind& of_kind = of(stream, kind);
--- a/src/control/streams.hpp
+++ b/src/control/streams.hpp
@@ -35,6 +35,7 @@
 };
 std::string text_of(const Version& version);
 std::optional<Version> version_in(const std::string& text);
+std::string version_of(const Resource& resource, std::uint64_t epoch, const std::string& service);
 
 // What a proxy said, read whole.
 struct Heard {
@@ -89,7 +90,7 @@
   bool open(StreamId id, Form form, Abilities abilities, Millis now);
   void hear(StreamId id, Heard heard, Millis now);
   // The transport can take the next response of that stream.
-  void written(StreamId id, Millis now);
+  void written(StreamId id);
   void close(StreamId id);
 
   std::set<Abilities> abilities() const;
@@ -168,7 +169,6 @@
   std::optional<Write> difference(StreamId id, Stream& stream, Kind kind, const Current& current,
                                   bool urgent_only, Millis now);
   std::optional<Write> difference(StreamId id, Stream& stream, bool urgent_only, Millis now);
-  std::string version_of(const Resource& resource) const;
   static void look_again(Stream& stream, Millis at) {
     stream.again = stream.again < 0 ? at : std::min(stream.again, at);
   }
--- a/src/control/xds.cpp
+++ b/src/control/xds.cpp
@@ -209,6 +209,18 @@
   return encoded_[resource.version] = std::move(bytes);
 }
 
+void Encoder::wrap(const Write::Item& item, discovery::Resource& into) {
+  into.set_name(item.resource->name);
+  into.set_version(version_of(*item.resource, epoch_, service_));
+  if (item.time_to_live >= 0) set(*into.mutable_ttl(), item.time_to_live);
+  if (item.body) put(*item.resource, *into.mutable_resource());
+}
+
+void Encoder::put(const Resource& resource, google::protobuf::Any& into) {
+  into.set_type_url(type_url_of(resource.kind));
+  into.set_value(*encoded(resource));
+}
+
 discovery::DiscoveryResponse Encoder::whole(const Write& write) {
   discovery::DiscoveryResponse response;
   response.set_version_info(write.version);
@@ -218,18 +230,11 @@
   for (const Write::Item& item : write.items) {
     google::protobuf::Any& any = *response.add_resources();
     if (item.time_to_live < 0) {
-      any.set_type_url(type_url_of(write.kind));
-      any.set_value(*encoded(*item.resource));
+      put(*item.resource, any);
       continue;
     }
     discovery::Resource wrapped;
-    wrapped.set_name(item.resource->name);
-    wrapped.set_version(text_of({item.resource->revision, epoch_, item.resource->version, service_}));
-    set(*wrapped.mutable_ttl(), item.time_to_live);
-    if (item.body) {
-      wrapped.mutable_resource()->set_type_url(type_url_of(write.kind));
-      wrapped.mutable_resource()->set_value(*encoded(*item.resource));
-    }
+    wrap(item, wrapped);
     any.PackFrom(wrapped);
   }
   return response;
@@ -241,16 +246,7 @@
   response.set_type_url(type_url_of(write.kind));
   response.set_nonce(write.nonce);
   response.mutable_control_plane()->set_identifier(service_);
-  for (const Write::Item& item : write.items) {
-    discovery::Resource& row = *response.add_resources();
-    row.set_name(item.resource->name);
-    row.set_version(text_of({item.resource->revision, epoch_, item.resource->version, service_}));
-    if (item.time_to_live >= 0) set(*row.mutable_ttl(), item.time_to_live);
-    if (item.body) {
-      row.mutable_resource()->set_type_url(type_url_of(write.kind));
-      row.mutable_resource()->set_value(*encoded(*item.resource));
-    }
-  }
+  for (const Write::Item& item : write.items) wrap(item, *response.add_resources());
   for (const std::string& name : write.removed) response.add_removed_resources(name);
   return response;
 }
--- a/src/control/xds.hpp
+++ b/src/control/xds.hpp
@@ -39,6 +39,8 @@
   discovery::DeltaDiscoveryResponse changes(const Write& write);
 
  private:
+  void wrap(const Write::Item& item, discovery::Resource& into);
+  void put(const Resource& resource, google::protobuf::Any& into);
   std::shared_ptr<const std::string> encoded(const Resource& resource);
 
   const std::string service_;
--- a/src/links/list.cpp
+++ b/src/links/list.cpp
@@ -173,8 +173,8 @@
   const std::string path = whole_
                                ? "/discovery/hosts"
                                : fmt::format("/discovery/hosts?since={}&timeout_ms={:.0f}", revision_, kWait);
-  const std::string text = fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\nAccept: application/json\r\n\r\n",
-                                       path, discovery_.address().to_string(), discovery_.port());
+  const std::string text = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+                                       path, text_of(discovery_));
   limit_ = timers_.set(clock_.now() + (whole_ ? 0 : kWait) + kLost, [this] {
     limit_.reset();
     failed("no answer in time");
--- a/tests/control.cpp
+++ b/tests/control.cpp
@@ -75,7 +75,7 @@
     } else if (word == "reads") {  // the transport of that stream takes the next response
       StreamId id;
       words >> id.number;
-      streams_->written(id, now_);
+      streams_->written(id);
     } else if (word == "restart") {  // another service, with what the store held, or without
       std::string service = "b", with;
       words >> service >> with;
@@ -87,7 +87,7 @@
         router_->note(roster_->read());
       }
     } else if (word == "reads-all") {
-      for (auto& [id, kinds] : last_) streams_->written(id, now_);
+      for (auto& [id, kinds] : last_) streams_->written(id);
     } else {
       throw std::runtime_error("unknown line " + text);
     }
--- a/tests/proxies.cpp
+++ b/tests/proxies.cpp
@@ -61,6 +61,9 @@
     for (const std::string& member : members) text += fmt::format(" {}:{}", priority, member);
   return text;
 }
+bool any_empty(const Proxy& proxy) {
+  return std::ranges::any_of(proxy.assignments(), [](const auto& item) { return item.second.empty(); });
+}
 bool settled(const Proxy& proxy) {
   return names(proxy, "group-0.primary", "s-000") && names(proxy, "group-0.any", "s-001") &&
          names(proxy, "group-0.any", "s-002");
@@ -109,7 +112,7 @@
   service.start();
   std::atomic<bool> drained = false, brought_back = false, empty = false;
   const auto look = [&](Proxy& proxy, const std::string&, double) {
-    for (const auto& [name, handed] : proxy.assignments()) empty = empty || handed.empty();
+    empty = empty || any_empty(proxy);
     if (drained && names(proxy, "group-0.any", "s-002")) brought_back = true;
   };
   std::vector<std::unique_ptr<Proxy>> proxies;
@@ -157,7 +160,7 @@
   std::map<std::string, std::pair<long long, long long>> last;  // epoch and change, by proxy
   std::vector<std::unique_ptr<Proxy>> proxies;
   const auto look = [&](Proxy& proxy, const std::string& type, double) {
-    for (const auto& [name, handed] : proxy.assignments()) empty = empty || handed.empty();
+    empty = empty || any_empty(proxy);
     long long revision = 0, epoch = 0, change = 0;
     if (!type.ends_with("Assignment")) return;
     if (std::sscanf(proxy.last_version().c_str(), "r%lld.e%lld.c%lld", &revision, &epoch, &change) != 3)
@@ -238,9 +241,8 @@
                          "(roster (confirm 300ms) (older-list 1h))");
   service.start();
   std::atomic<bool> empty = false;
-  Proxy proxy("p", service.target(), kWhole, kNames, [&](Proxy& p, const std::string&, double) {
-    for (const auto& [name, handed] : p.assignments()) empty = empty || handed.empty();
-  });
+  Proxy proxy("p", service.target(), kWhole, kNames,
+              [&](Proxy& p, const std::string&, double) { empty = empty || any_empty(p); });
   say("told", proxy.wait(settled));
   world.discovery(Manner::empty_list);
   world.change([](auto&) {});
