An instance that hears no other keeps the slow pace of one for all, and tells as rarely

Each of 300 fronts then waits its 50 to 3,050 ms, probes, tells all the others, and as it never hears of another keeper goes on so for every group. Seen with a probe that counted by the second (not kept), front n7: before the split 3.037 TMP ... heard=420 ops=15 p_4=21 probes=22 tells=11 ... mine=1 (it keeps one group of 21), while it lasts 10.047 TMP busy=8 ... ops=20 p_4=393 p_5=1 probes=394 tells=285 ... mine=21 394 probes and 285 messages in a second for 20 ops, 393 of the probes (p_4) as keeper; nothing heard. Ruled out by the same counts: probes for ops that wait for a sample (p_3), overdue members (p_1) or failed sends (p_2), 0 in that second. At fault: patience() and learn(ProbeEnded) in logic.cpp, which take silence for the keeper's death.

Change: with no word of any group for 450 ms an instance does not know whether anyone listens; it waits as where there are no messages (all together keep the pace of one), and is nobody's keeper. What it finds it tells all the same, so a fleet that hears again is back at once. The drawn part is kept as a share, so that a change of state needs no new draw. Guards also against lost or blocked messages of any cause.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -94,7 +94,7 @@
 
 struct Group {
   std::vector<Member*> members;         // in the order of their marks
-  Millis wait = 0;                      // how much longer than the usual pace others are given to tell of it
+  double wait = 0;                      // drawn: the share of its patience that this instance waits
   bool asked = false, touched = false;  // asked: an op waits for a sample
   bool mine = false;                    // this instance keeps the pace for all
 };
@@ -301,7 +301,7 @@
     Member& member = members_[ended.member];
     member.probe_out = kNever;
     Group& group = touch(member);
-    if (!may_tell_) group.wait = patience();
+    if (!hears()) group.wait = roll();
     // All instances together go on probing a failing member as one would; where others tell, rarer still.
     const double sharing = std::min(instances_, may_tell_ ? 64.0 : 16.0);
     if (!ended.answered) member.next_probe = now_ + kProbePeriod * sharing * (0.9 + 0.2 * roll());
@@ -310,7 +310,7 @@
     const bool due = now_ - member.heard > kProbePeriod * (group.mine ? 0.5 : 1);
     if (!ended.answered) return;
     good(member);
-    if (may_tell_ && due && ended.seen.position >= 0) want_tells_.push_back(&member), group.mine = true;
+    if (may_tell_ && due && ended.seen.position >= 0) want_tells_.push_back(&member), group.mine = hears();
     see(member, ended.seen, ended.seen.position, now_);
   }
 
@@ -352,6 +352,7 @@
     const double wrap = static_cast<double>(kClock);
     const Millis then = now_ - std::fmod(now_ - static_cast<double>(clock) + wrap, wrap) - 1;
     if (!text.starts_with("r1") || clock < 0 || now_ - then > kSampleAge) return;
+    peer_heard_ = now_;
     for (std::size_t at = kHeader; at < text.size(); at += kEntry) {
       const long lag = number_in(text.substr(at + 4, 2)), role = number_in(text.substr(at + 6, 1));
       const auto found = std::ranges::equal_range(marked_, number_in(text.substr(at, 4)), {},
@@ -364,7 +365,7 @@
       // What another saw outweighs a failed probe of one's own, but not failed ops: those make it look again.
       member.probe_bad = kNever;
       if (down(member)) member.next_probe = now_;
-      group.wait = patience();
+      group.wait = roll();
       const Millis position = lag < kLags - 1 ? then - static_cast<double>(lag * kLagUnit) : -1;
       see(member, {static_cast<Role>(role), position}, position, then);
     }
@@ -372,10 +373,15 @@
 
   // How much longer than the usual pace others are given to tell first, drawn so that few speak at once:
   // messages take up to 50 ms, 10 ms set two apart. Where none can tell, all keep the pace of one together.
-  Millis patience() {
-    return may_tell_ ? 50 + 10 * instances_ * roll() : 2 * kProbePeriod * (instances_ - 1) * roll();
+  Millis patience(const Group& group) const {
+    return hears() ? 50 + 10 * instances_ * group.wait : 2 * kProbePeriod * (instances_ - 1) * group.wait;
   }
 
+  // Guards against instances that don't hear each other: each would keep the pace for all groups and tell all
+  // others of it. Not a word of any group for two paces and the way of a message: what goes on elsewhere is
+  // not known here, nor whether anyone listens. Harm: an instance that keeps all groups hears nobody, either.
+  bool hears() const { return may_tell_ && now_ - std::max(peer_heard_, born_) < 2 * kProbePeriod + 50; }
+
   const bool may_probe_ = catalog_.number("allow.probes") > 0;
   const Millis probe_wait_ = catalog_.number("allow.connect_time_out", 250);  // a new connection included
   const bool may_tell_ = instances_ > 1 && catalog_.number("allow.peers") > 0;
@@ -663,7 +669,8 @@
     if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
     if (overdue(member) && member.probe_bad < member.oldest_out) return std::max(now_, member.next_probe);
     if (member.hurt > std::max(member.last_good, member.probe_bad)) return member.next_probe;
-    Millis at = std::max(member.heard, born_ - kProbePeriod) + kProbePeriod + (group.mine ? 0 : group.wait);
+    Millis at =
+        std::max(member.heard, born_ - kProbePeriod) + kProbePeriod + (group.mine ? 0 : patience(group));
     if (group.asked) at = std::min(at, member.heard + kSampleAge / 2);
     return std::max(at, member.next_probe);
   }
@@ -677,7 +684,8 @@
   }
 
   void judge_probes(Group& group) {
-    if (group.wait == 0) group.wait = patience();
+    if (group.wait == 0) group.wait = roll();
+    group.mine = group.mine && hears();
     bool due = false;
     for (Member* member : group.members) {
       const Millis at = probe_at(group, *member);
@@ -747,7 +755,8 @@
       catalog_.number("allow.longest_come_back") * (catalog_.number("allow.come_back") > 0);
 
   double primary_density_ = 1e-9, long_part_ = 0;
-  Millis now_ = 0, born_ = kNever, armed_ = kNever, next_watch_ = kNever, next_probe_ = 0;
+  Millis now_ = 0, born_ = kNever, peer_heard_ = kNever, armed_ = kNever, next_watch_ = kNever,
+         next_probe_ = 0;
   TimerId armed_as_;
   bool want_watch_ = false;
   long turn_ = 0;
