Keepers pace by what they told and gather it; new members and slow ops wait to be told of

Lines: learn(ProbeEnded), probe_at, tell in logic.cpp.

Change: a keeper's pace goes by when it told; its findings wait 25 ms at most for their siblings; a member new in the list counts from then, so that all but the keeper give it its patience; an overdue member that others tell of is probed at twice the time.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -83,6 +83,8 @@
   std::deque<Millis> latencies;                                     // of the last answers of short work
   Millis proven = kNever;                                           // a position once shown holds
   Millis primary_at = kNever, replica_at = kNever, heard = kNever;  // heard: of a sample from anyone
+  Millis told = kNever;   // when this instance or another last told all others of it
+  Millis since = kNever;  // first listed
   Millis last_good = kNever, probe_bad = kNever, op_bad = kNever, cold_since = kNever;
   Millis probe_out = kNever, next_probe = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
@@ -191,7 +193,7 @@
       Member& member = at->second;
       member.entry = entry;
       if (is_new) {
-        member.mark = mark_of(entry.member), std::erase(want_forgets_, entry.member);
+        member.since = now_, member.mark = mark_of(entry.member), std::erase(want_forgets_, entry.member);
         marked_.emplace_back(member.mark, &member);
         std::sort(marked_.begin(), marked_.end());
         std::vector<Member*>& members = touch(member).members;
@@ -214,6 +216,7 @@
       if (!bound_by_gone_ || member.probe_out != kNever || now_ - member.there < 30000) return false;
       if (member.entry.state != MemberState::gone) return false;
       std::erase(touch(member).members, &member), std::erase(marked_, std::pair(member.mark, &member));
+      std::erase(want_tells_, &member);
       want_forgets_.push_back(item.first);
       return true;
     });
@@ -306,11 +309,16 @@
     const double sharing = std::min(instances_, may_tell_ ? 64.0 : 16.0);
     if (!ended.answered) member.next_probe = now_ + kProbePeriod * sharing * (0.9 + 0.2 * roll());
     member.probe_bad = ended.answered ? kNever : now_;
-    // Probes that were sent for another reason than the pace tell the others nothing they need.
-    const bool due = now_ - member.heard > kProbePeriod * (group.mine ? 0.5 : 1);
+    --probes_out_;
+    // Probes that were sent for another reason than the pace tell the others nothing they need. A keeper's
+    // own answers don't, either: others would take its silence for its death.
+    const bool due = now_ - (group.mine ? member.told : member.heard) > kProbePeriod * (group.mine ? 0.5 : 1);
     if (!ended.answered) return;
     good(member);
-    if (may_tell_ && due && ended.seen.position >= 0) want_tells_.push_back(&member), group.mine = hears();
+    if (may_tell_ && due && ended.seen.position >= 0) {
+      if (want_tells_.empty()) untold_since_ = now_;
+      want_tells_.push_back(&member), group.mine = hears();
+    }
     see(member, ended.seen, ended.seen.position, now_);
   }
 
@@ -361,6 +369,7 @@
       Member& member = *found.front().second;
       Group& group = touch(member);
       group.mine = group.mine && rank_ < spoke.peer;  // of two that keep the pace one goes on
+      member.told = std::max(member.told, then);
       if (then <= member.heard) continue;
       // What another saw outweighs a failed probe of one's own, but not failed ops: those make it look again.
       member.probe_bad = kNever;
@@ -667,10 +676,14 @@
   // group, or by others when it is left untold; sooner when an op waits for a sample, failed or is overdue.
   Millis probe_at(const Group& group, const Member& member) const {
     if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
-    if (overdue(member) && member.probe_bad < member.oldest_out) return std::max(now_, member.next_probe);
+    // Guards against probing members for the sake of one slow op: of one that others tell of, only the path
+    // can be at fault, so it is given twice the time.
+    const bool told_of = hears() && now_ - member.told < 1.5 * kProbePeriod;
+    if (overdue(member, told_of ? 6 : 3) && member.probe_bad < member.oldest_out)
+      return std::max(now_, member.next_probe);
     if (member.hurt > std::max(member.last_good, member.probe_bad)) return member.next_probe;
-    Millis at =
-        std::max(member.heard, born_ - kProbePeriod) + kProbePeriod + (group.mine ? 0 : patience(group));
+    Millis at = std::max(group.mine ? member.told : member.heard, member.since - kProbePeriod) + kProbePeriod;
+    if (!group.mine) at += patience(group);
     if (group.asked) at = std::min(at, member.heard + kSampleAge / 2);
     return std::max(at, member.next_probe);
   }
@@ -713,7 +726,7 @@
     if (std::exchange(want_watch_, false)) out.push_back(WatchList{}), next_watch_ = kForever;
     for (Member* member : std::exchange(want_probes_, {})) {
       out.push_back(Probe{member->entry.member, probe_wait_});
-      member->probe_out = now_, member->next_probe = now_ + kProbePeriod * 0.75;
+      member->probe_out = now_, member->next_probe = now_ + kProbePeriod * 0.75, ++probes_out_;
     }
     tell(out);
     for (auto& [key, flight] : flights_) {
@@ -733,16 +746,22 @@
     std::erase_if(ops_, [](const auto& item) { return item.second.want > Want::send; });
     Millis wake = ask_ ? std::min(next_probe_, next_watch_) : next_probe_;
     if (!ops_.empty()) wake = std::min(wake, now_ + 3 * tick_);
+    if (!want_tells_.empty()) wake = std::min(wake, untold_since_ + kGather);
     wake = std::clamp(wake, now_ + tick_, now_ + 1000);
     if (armed_ == kNever || wake < armed_) out.push_back(Wake{{++armed_as_.number}, armed_ = wake});
     return out;
   }
 
+  // What is found out at one pace goes into one message: it waits for the answers to the probes that are out,
+  // not for long beside the way of a message.
+  static constexpr Millis kGather = 25;
   void tell(std::vector<Decision>& out) {
+    if (probes_out_ > 0 && now_ < untold_since_ + kGather) return;
     const long now = static_cast<long>(std::floor(now_));
     std::string text;
-    for (const Member* member : std::exchange(want_tells_, {})) {
+    for (Member* member : std::exchange(want_tells_, {})) {
       if (text.empty()) text = "r1" + digits(now % kClock, 5);
+      member->told = now_;
       const long lag = static_cast<long>(std::ceil((static_cast<double>(now) - member->proven) / kLagUnit));
       text += digits(member->mark, 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
       text += member->primary_at > member->replica_at ? '1' : '2';
@@ -761,6 +780,8 @@
   bool want_watch_ = false;
   long turn_ = 0;
   std::vector<Member*> want_probes_, want_tells_;
+  Millis untold_since_ = kNever;  // of what is wanted to be told, the first
+  int probes_out_ = 0;
   std::vector<MemberId> want_forgets_;
   std::vector<Group*> touched_;
   std::vector<Event> noted_;
