Failed probes are told once, who hears again waits anew, members told of are probed less

Change: patience runs anew when hearing begins; a probe of the pace without an answer is told once and makes the others try that member together as often as one would, which unseats no keeper and is not held against the member; members that others tell of are probed at four times the usual time and not for a first failed send; one word a second while unheard.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -86,13 +86,14 @@
   Millis told = kNever;   // when this instance or another last told all others of it
   Millis since = kNever;  // first listed
   Millis last_good = kNever, probe_bad = kNever, op_bad = kNever, cold_since = kNever;
-  Millis probe_out = kNever, next_probe = kNever;
+  Millis probe_out = kNever, probed = kNever, next_probe = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   double limit = 0, credit = 0;
   Millis yielded = kNever, credit_at = kNever, rests_until = kNever, there = kNever, hurt = kNever,
          busy_at = kNever;
-  double busy = 0;        // share of its processors in use
-  bool was_late = false;  // its last answer
+  double busy = 0;          // share of its processors in use
+  bool unanswered = false;  // the last word on it: a probe, of whomever, had no answer
+  bool was_late = false;    // its last answer
   int out = 0;
   long turn = 0, mark = 0;
 };
@@ -316,12 +317,14 @@
     // Probes that were sent for another reason than the pace tell the others nothing they need. A keeper's
     // own answers don't, either: others would take its silence for its death.
     const bool due = now_ - (group.mine ? member.told : member.heard) > kProbePeriod * (group.mine ? 0.5 : 1);
-    if (!ended.answered) return;
-    good(member);
-    if (may_tell_ && due && ended.seen.position >= 0) {
+    const bool first = !std::exchange(member.unanswered, !ended.answered);  // told of it once, others know
+    if (may_tell_ && due && (ended.answered ? ended.seen.position >= 0 : first)) {
       if (want_tells_.empty()) untold_since_ = now_;
-      want_tells_.push_back(&member), group.mine = hears();
+      want_tells_.push_back(&member);
+      group.mine = hears() && (group.mine || ended.answered);
     }
+    if (!ended.answered) return;
+    good(member);
     see(member, ended.seen, ended.seen.position, now_);
   }
 
@@ -330,7 +333,8 @@
 
   // A position once shown holds whoever saw it, so samples are shared; health is not, it is of the path.
   // "r1", the sender's clock (5 digits, ms), then by member: mark (4), lag in kLagUnit (2), and in one
-  // digit its role and how busy it shows to be: role + 4 * (0: not known, else 1 + 14ths of its processors).
+  // digit its role (0: it did not answer) and load: role + 4 * (0: not known, else 1 + 14ths of its
+  // processors).
 
   static constexpr std::string_view kDigits =
       "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_";
@@ -364,6 +368,7 @@
     const double wrap = static_cast<double>(kClock);
     const Millis then = now_ - std::fmod(now_ - static_cast<double>(clock) + wrap, wrap) - 1;
     if (!text.starts_with("r1") || clock < 0 || now_ - then > kSampleAge) return;
+    if (!hears()) heard_again_ = now_;
     peer_heard_ = now_;
     for (std::size_t at = kHeader; at < text.size(); at += kEntry) {
       const long lag = number_in(text.substr(at + 4, 2)), last = number_in(text.substr(at + 6, 1));
@@ -373,12 +378,14 @@
       if (lag < 0 || last < 0 || role > 2 || found.size() != 1) continue;
       Member& member = *found.front().second;
       Group& group = touch(member);
-      group.mine = group.mine && rank_ < spoke.peer;  // of two that keep the pace one goes on
-      member.told = std::max(member.told, then);
-      if (then <= member.heard) continue;
+      // Of two that keep the pace one goes on.
+      group.mine = group.mine && (role == 0 || rank_ < spoke.peer);
+      if (role > 0) member.told = std::max(member.told, then);
+      if (then <= member.heard || (member.unanswered = role == 0)) continue;
       // What another saw outweighs a failed probe of one's own, but not failed ops: those make it look again.
       member.probe_bad = kNever;
-      if (down(member)) member.next_probe = now_;
+      if (down(member))
+        member.next_probe = std::max(now_, member.probed + kProbePeriod * std::min(5.0, instances_));
       group.wait = roll();
       const Millis position = lag < kLags - 1 ? then - static_cast<double>(lag * kLagUnit) : -1;
       see(member, {static_cast<Role>(role), position, busy > 0 ? (busy - 1) / 14.0 : -1}, position, then);
@@ -387,8 +394,10 @@
 
   // How much longer than the usual pace others are given to tell first, drawn so that few speak at once:
   // messages take up to 50 ms, 10 ms set two apart. Where none can tell, all keep the pace of one together.
-  Millis patience(const Group& group) const {
-    return hears() ? 50 + 10 * instances_ * group.wait : 2 * kProbePeriod * (instances_ - 1) * group.wait;
+  // So do they for a member that did not answer who looked first: all would try it, one after the other.
+  Millis patience(const Group& group, const Member& member) const {
+    return hears() && !member.unanswered ? 50 + 10 * instances_ * group.wait
+                                         : 2 * kProbePeriod * (instances_ - 1) * group.wait;
   }
 
   // Guards against instances that don't hear each other: each would keep the pace for all groups and tell all
@@ -402,7 +411,7 @@
 
   // A primary stands at the present, so the position it claims dates the claim.
   void see(Member& member, const Sighting& seen, Millis date, Millis at, bool commit = false) {
-    member.heard = at;
+    member.heard = at, member.unanswered = false;
     if (seen.role == Role::primary) member.primary_at = std::max(member.primary_at, date);
     if (seen.role == Role::replica) member.replica_at = std::max(member.replica_at, date);
     if (seen.busy >= 0) member.busy = seen.busy, member.busy_at = at;
@@ -687,14 +696,18 @@
   // group, or by others when it is left untold; sooner when an op waits for a sample, failed or is overdue.
   Millis probe_at(const Group& group, const Member& member) const {
     if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
-    // Guards against probing members for the sake of one slow op: of one that others tell of, only the path
-    // can be at fault, so it is given twice the time.
+    // Guards against probing members for the sake of one slow op or one ended connection: of one that others
+    // tell of, only the path can be at fault. It is given four times the time, by when the op is late anyway,
+    // and a second failed op. One that is down by its ops is looked at once others tell of it.
     const bool told_of = hears() && now_ - member.told < 1.5 * kProbePeriod;
-    if (overdue(member, told_of ? 6 : 3) && member.probe_bad < member.oldest_out)
+    if (overdue(member, told_of ? 12 : 3) && member.probe_bad < member.oldest_out)
       return std::max(now_, member.next_probe);
-    if (member.hurt > std::max(member.last_good, member.probe_bad)) return member.next_probe;
-    Millis at = std::max(group.mine ? member.told : member.heard, member.since - kProbePeriod) + kProbePeriod;
-    if (!group.mine) at += patience(group);
+    const bool look = down(member) ? member.told > member.hurt : !told_of;
+    if (look && member.hurt > std::max(member.last_good, member.probe_bad)) return member.next_probe;
+    // Patience runs anew for a new member and for who hears again: else all would probe all at once.
+    const Millis anew = std::max(member.since, heard_again_) - kProbePeriod;
+    Millis at = std::max(group.mine ? member.told : member.heard, anew) + kProbePeriod;
+    if (!group.mine) at += patience(group, member);
     if (group.asked) at = std::min(at, member.heard + kSampleAge / 2);
     return std::max(at, member.next_probe);
   }
@@ -737,7 +750,8 @@
     if (std::exchange(want_watch_, false)) out.push_back(WatchList{}), next_watch_ = kForever;
     for (Member* member : std::exchange(want_probes_, {})) {
       out.push_back(Probe{member->entry.member, probe_wait_});
-      member->probe_out = now_, member->next_probe = now_ + kProbePeriod * 0.75, ++probes_out_;
+      member->probe_out = member->probed = now_, ++probes_out_;
+      member->next_probe = now_ + kProbePeriod * 0.75;
     }
     tell(out);
     for (auto& [key, flight] : flights_) {
@@ -768,32 +782,36 @@
   static constexpr Millis kGather = 25;
   void tell(std::vector<Decision>& out) {
     if (probes_out_ > 0 && now_ < untold_since_ + kGather) return;
+    // While nobody is heard a word now and then will do, from which those who hear again learn that others
+    // do.
+    if (!hears() && now_ < spoke_at_ + kSampleAge) return want_tells_.clear();
     const long now = static_cast<long>(std::floor(now_));
     std::string text;
     for (Member* member : std::exchange(want_tells_, {})) {
       if (text.empty()) text = "r1" + digits(now % kClock, 5);
-      member->told = now_;
+      if (!member->unanswered) member->told = now_;
       const long lag = static_cast<long>(std::ceil((static_cast<double>(now) - member->proven) / kLagUnit));
       text += digits(member->mark, 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
       const bool shown = now_ - member->busy_at < kSampleAge;
       const long busy = shown ? 1 + std::lround(14 * std::min(1.0, member->busy)) : 0;
-      text += digits((member->primary_at > member->replica_at ? 1 : 2) + 4 * busy, 1);
+      const long role = member->unanswered ? 0 : member->primary_at > member->replica_at ? 1 : 2;
+      text += digits(role + 4 * busy, 1);
       if (text.size() + kEntry > kLongest) break;  // the rest is told when its turn comes again
     }
-    if (!text.empty()) out.push_back(TellPeers{text});
+    if (!text.empty()) out.push_back(TellPeers{text}), spoke_at_ = now_;
   }
 
   const Millis come_back_ =
       catalog_.number("allow.longest_come_back") * (catalog_.number("allow.come_back") > 0);
 
   double primary_density_ = 1e-9, long_part_ = 0;
-  Millis now_ = 0, born_ = kNever, peer_heard_ = kNever, armed_ = kNever, next_watch_ = kNever,
-         next_probe_ = 0;
+  Millis now_ = 0, born_ = kNever, peer_heard_ = kNever, heard_again_ = kNever, armed_ = kNever,
+         next_watch_ = kNever, next_probe_ = 0;
   TimerId armed_as_;
   bool want_watch_ = false;
   long turn_ = 0;
   std::vector<Member*> want_probes_, want_tells_;
-  Millis untold_since_ = kNever;  // of what is wanted to be told, the first
+  Millis untold_since_ = kNever, spoke_at_ = kNever;  // untold: of what is wanted to be told, the first
   int probes_out_ = 0;
   std::vector<MemberId> want_forgets_;
   std::vector<Group*> touched_;
