A cold member that shows processors free gets more of its cold credit

Lines: has_room and cold_rate in logic.cpp. Change: while credit is what holds ops back, each sample below half in use gives a tenth more of it, up to four times; each above 0.7, and each while nothing is held back, takes it away again. Test: cases/cold_but_free (without the change b gets its first op at 11600, not 11200).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -89,6 +89,7 @@
   Millis probe_out = kNever, probed = kNever, next_probe = kNever;
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   double limit = 0, credit = 0;
+  double more = 1;  // how many times its cold credit it gets, for it shows processors free
   Millis yielded = kNever, credit_at = kNever, rests_until = kNever, there = kNever, hurt = kNever,
          busy_at = kNever;
   double busy = 0;          // share of its processors in use
@@ -414,7 +415,7 @@
     member.heard = at, member.unanswered = false;
     if (seen.role == Role::primary) member.primary_at = std::max(member.primary_at, date);
     if (seen.role == Role::replica) member.replica_at = std::max(member.replica_at, date);
-    if (seen.busy >= 0) member.busy = seen.busy, member.busy_at = at;
+    if (seen.busy >= 0) member.busy = seen.busy, member.busy_at = at, credit_more(member);
     if (seen.position < 0) return;
     member.proven = std::max(member.proven, seen.position - (commit ? 1 : 0));  // a commit is rounded up
     keep(member.samples, {member.proven, at}, 3);
@@ -548,6 +549,21 @@
   // Guards against pushing over a cold member: in a millisecond this instance sends it at most the rule's
   // multiple of its share of what a warm member of its size answered this instance of late, which is less
   // than such a member can do. That may be far under one op; the sum over all instances keeps the rule.
+  // What a cold member shows of itself outweighs that estimate: while credit is what holds ops back it gets a
+  // tenth more with each sample below half in use, up to four times, and three tenths less above 0.7. Guards
+  // groups whose members are all new. Harm: what is shown is one or two samples old, in which this grows by
+  // 1.2; where credit holds nothing back it is taken away, so that no sudden wave meets it.
+  void credit_more(Member& member) {
+    const bool over = warmth(member) >= 1 || member.busy > 0.7, spare = !over && accrue(member) >= 1;
+    if (over || spare || member.busy < 0.5)
+      member.more = std::clamp(member.more * (over ? 0.7 : spare ? 0.9 : 1.1), 1.0, 4.0);
+  }
+  double more(const Member& member) const { return now_ - member.busy_at < kSampleAge / 2 ? member.more : 1; }
+  double accrue(Member& member) {
+    const Millis since = std::max(std::exchange(member.credit_at, now_), member.cold_since);
+    return member.credit = std::min(1.0, member.credit + (now_ - since) * cold_rate(member) * more(member));
+  }
+
   double cold_rate(const Member& member) {
     while (!acked_.empty() && acked_.front() < now_ - kCarried) acked_.pop_front();
     double warm = 0;
@@ -562,14 +578,11 @@
   const double fall_multiple_ = catalog_.number("rule.fall_multiple", 2);
 
   bool has_room(Member& member, const Op& op, bool long_work, double part) {
-    const double share = warmth(member);
+    const double share = std::min(1.0, warmth(member) * more(member));
     // With no answer at all a member is back in 100 s.
     const double limit = member.limit * part * share, regained = (now_ - member.yielded) / 100000;
     if (member.out + 0.5 > std::max(1.0, limit) || op.chance > limit + regained) return false;
-    if (share >= 1) return true;
-    const Millis since = std::max(std::exchange(member.credit_at, now_), member.cold_since);
-    member.credit = std::min(1.0, member.credit + (now_ - since) * cold_rate(member));
-    return !long_work && member.credit >= 1;
+    return warmth(member) >= 1 || (!long_work && accrue(member) >= 1);
   }
 
   // Who claimed it last and was not seen as a replica since; the list counts where no member has spoken.
