--- a/src/control/charge.cpp
+++ b/src/control/charge.cpp
@@ -82,14 +82,7 @@
   if (control.contains("tls"))
     charge.tls =
         Tls{control["tls"]["certificate"], control["tls"]["key"], control["tls"].value("proxies", "")};
-  const Json& log = file.values["log"];
-  charge.log_form = log["form"] == "json" ? links::LogForm::json : links::LogForm::text;
-  const std::string level = log["level"];
-  charge.log_level = level == "debug"  ? links::LogLevel::debug
-                     : level == "info" ? links::LogLevel::info
-                     : level == "warn" ? links::LogLevel::warn
-                                       : links::LogLevel::error;
-  charge.lines_of_a_kind = log["lines-of-a-kind"];
+  charge.log = links::log_manner_in(file.values["log"]);
   if (!faults.empty()) throw operators::Faulty(std::move(faults));
   return charge;
 }
--- a/src/control/charge.hpp
+++ b/src/control/charge.hpp
@@ -28,9 +28,7 @@
   Millis first_answer = 0, keepalive = 0;
   Streams::Bounds streams;
   std::optional<Tls> tls;
-  links::LogForm log_form = links::LogForm::text;
-  links::LogLevel log_level = links::LogLevel::info;
-  int lines_of_a_kind = 5;
+  links::LogManner log;
 };
 
 // Throws operators::Faulty.
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -57,7 +57,7 @@
 // The roster as the store held it, kept again at once under the number of this start. Guards against versions
 // that go back: a generation's number is never given twice, whatever of its content is damaged.
 std::uint64_t Service::start_roster() {
-  log_.be(charge_.log_form, charge_.log_level, charge_.lines_of_a_kind);
+  log_.be(charge_.log);
   const keep::Loaded loaded = store_.load();
   for (const keep::Damage& damage : loaded.damaged)
     log_.error("keep", "damaged", {{"file", damage.name}, {"why", damage.why}});
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -10,9 +10,10 @@
 constexpr int kOfOneTurn = 64;
 }  // namespace
 
-Front::Front(Environment environment)
+Front::Front(Environment environment, const Orders& orders)
     : environment_(std::move(environment)),
       placement_(read_placement(environment_)),
+      clock_(orders.clock_offset),
       log_(clock_),
       io_(1),
       timers_(io_, clock_),
@@ -27,7 +28,10 @@
       list_(io_, timers_, clock_, log_, placement_, [this](StoreList list) { list_read(std::move(list)); }),
       peers_(io_, log_, placement_, [this](int peer, std::string text) {
         noted_.push_back({PeerSpoke{peer, std::move(text)}});
-      }) {}
+      }) {
+  log_.be(orders.log);
+  if (orders.fleet) tier_.emplace(timers_, clock_, log_, placement_, *orders.fleet, peers_);
+}
 
 void Front::run() {
   clients_.listen();
@@ -50,6 +54,7 @@
     log_.flush();
   }
   log_.info("front", "stops, all it took is answered", {{"name", placement_.name}});
+  if (tier_) tier_->stop();
   peers_.stop();
   list_.stop();
   clients_.stop();
@@ -137,6 +142,7 @@
       read_again();
     } else {
       log_.info("front", "drains", {{"signal", signal}});
+      if (tier_) tier_->leave();
       clients_.drain();
     }
     hear_signals();
@@ -146,8 +152,13 @@
 // SIGHUP: the placement may have changed. A faulty one changes nothing; of a sound one, discovery's address.
 void Front::read_again() {
   try {
-    const Placement read = read_placement(environment_, Reading::again);
+    Placement read = read_placement(environment_, Reading::again);
     log_.info("front", "placement read again", {{"discovery", text_of(read.discovery)}});
+    if (tier_) {
+      peers_.learn(read.peers);
+      tier_->listed(static_cast<int>(read.peers.size()));
+      read.peers = placement_.peers;
+    }
     for (const std::string& key : kept_until_restart(placement_, read))
       log_.warn("placement", "change waits for the next start", {{"key", key}});
     list_.move(read.discovery);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -11,7 +11,9 @@
 #include <vector>
 
 #include "front/clients.hpp"
+#include "front/orders.hpp"
 #include "front/peers.hpp"
+#include "front/tier.hpp"
 #include "links/clock.hpp"
 #include "links/list.hpp"
 #include "links/log.hpp"
@@ -27,7 +29,7 @@
 class Front : private Clients::Ops {
  public:
   // Throws Malformed where the placement is faulty.
-  explicit Front(Environment environment);
+  explicit Front(Environment environment, const Orders& orders = {});
 
   // Runs until it has been told to stop and nothing is open.
   void run();
@@ -83,6 +85,7 @@
   Clients clients_;
   List list_;
   Peers peers_;
+  std::optional<Tier> tier_;  // none: nothing of the fleet is on
 };
 
 }  // namespace reedspindle::front
--- a/src/front/main.cpp
+++ b/src/front/main.cpp
@@ -1,20 +1,38 @@
-// The front's process: signals and exit codes. 0: stopped when told; 2: what it was told at start is faulty;
-// 1: anything else.
+// The front's process: signals, command line and exit codes. 0: stopped when told; 2: what it was told at
+// start is faulty; 1: anything else. Without arguments it goes by its placement alone.
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
 
 #include "front/front.hpp"
+#include "operators/command.hpp"
 #include "values.hpp"
 
-int main() {
+int main(int count, char** words) {
+  using namespace reedspindle;
   std::signal(SIGPIPE, SIG_IGN);
+  const auto run = [](const front::Orders& orders) {
+    front::Front([](const char* name) { return std::getenv(name); }, orders).run();
+  };
   try {
-    reedspindle::front::Front front([](const char* name) { return std::getenv(name); });
-    front.run();
-    return 0;
-  } catch (const reedspindle::Malformed& fault) {
+    if (count == 1) {
+      run({});
+      return 0;
+    }
+    return operators::command_line(
+        {"reedspindle", "Steers the ops of a replicated store; where its placement is, ROUTER_CONFIG says",
+         REEDSPINDLE_VERSION,
+         [](const operators::File& file, const std::string& path) { front::orders_in(file, path); },
+         [&run](const operators::File& file, const std::string& path) {
+           try {
+             run(front::orders_in(file, path));
+           } catch (const Malformed& fault) {
+             throw operators::Faulty({fmt::format("reedspindle: {}", fault.what())});
+           }
+         }},
+        count, words);
+  } catch (const Malformed& fault) {
     std::cerr << "reedspindle: " << fault.what() << '\n';
     return 2;
   } catch (const std::exception& fault) {
--- a/src/front/peers.hpp
+++ b/src/front/peers.hpp
@@ -5,6 +5,8 @@
 #include <asio.hpp>
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "links/log.hpp"
 #include "links/placement.hpp"
@@ -19,6 +21,12 @@
 
   Peers(asio::io_context& io, Log& log, const Placement& placement, Heard heard);
   void tell(const std::string& text);
+  // To one front, by its place in the list.
+  void tell(int peer, const std::string& bytes);
+  // From now on the membership's datagrams go there.
+  void hand_over(Heard heard) { membership_ = std::move(heard); }
+  // The list has changed: who stands where, and who is believed.
+  void learn(std::vector<asio::ip::udp::endpoint> peers) { peers_ = std::move(peers); }
   void stop();
 
  private:
@@ -27,6 +35,8 @@
   Log& log_;
   const Placement& placement_;
   const Heard heard_;
+  Heard membership_;  // none: it is off
+  std::vector<asio::ip::udp::endpoint> peers_;
   asio::ip::udp::socket socket_;
   asio::ip::udp::endpoint sender_;
   std::array<char, 512> bytes_;
--- /dev/null
+++ b/src/front/tier.cpp
@@ -0,0 +1,138 @@
+#include "front/tier.hpp"
+
+#include <cmath>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace reedspindle::front {
+namespace {
+
+// The status file is written at most so often, and at least so often, by which readers see that it is alive.
+constexpr Millis kWriteAfter = 200, kWriteAtLeast = 5000;
+
+const char* word_of(membership::Standing standing) {
+  constexpr const char* words[] = {"there", "suspected", "failed", "left"};
+  return words[static_cast<int>(standing)];
+}
+
+const char* word_of(membership::Happening happening) {
+  constexpr const char* words[] = {"joined", "suspected", "cleared", "failed",
+                                   "left",   "back",      "moved",   "forgotten"};
+  return words[static_cast<int>(happening)];
+}
+
+}  // namespace
+
+Tier::Tier(Timers& timers, const Clock& clock, Log& log, const Placement& placement, const Fleet& fleet,
+           Peers& peers)
+    : timers_(timers),
+      clock_(clock),
+      log_(log),
+      peers_(peers),
+      name_(placement.name),
+      path_(fleet.status),
+      place_(charge_of(fleet, placement).place),
+      membership_(membership::make_membership(charge_of(fleet, placement), placement.seed)) {
+  peers_.hand_over([this](int peer, std::string bytes) {
+    settle(membership::Heard{{peer}, std::move(bytes)});
+  });
+  settle(std::nullopt);
+  write_status();
+}
+
+void Tier::listed(int places) { settle(membership::Listed{places}); }
+
+void Tier::leave() { settle(membership::Leaving{}); }
+
+void Tier::stop() {
+  timers_.drop(wake_);
+  timers_.drop(write_);
+  if (!path_.empty()) write_status();
+  timers_.drop(write_);
+}
+
+void Tier::settle(std::optional<membership::Event> event) {
+  if (event) membership_->note(std::move(*event));
+  changed_ = false;
+  for (const membership::Decision& decision : membership_->settle(clock_.now()))
+    std::visit([this](const auto& taken) { carry_out(taken); }, decision);
+  if (path_.empty() || !changed_) return;
+  timers_.drop(write_);
+  write_ =
+      timers_.set(std::max(clock_.now(), written_ + kWriteAfter), [this] { write_.reset(), write_status(); });
+}
+
+void Tier::carry_out(const membership::Tell& decision) { peers_.tell(decision.to.number, decision.bytes); }
+
+void Tier::carry_out(const membership::WakeAt& decision) {
+  timers_.drop(wake_);
+  wake_ = timers_.set(decision.at, [this] { wake_.reset(), settle(std::nullopt); });
+}
+
+void Tier::carry_out(const membership::Change& decision) {
+  changed_ = true;
+  log_.info("fleet", word_of(decision.happening),
+            {{"front", decision.name},
+             {"place", decision.place.number},
+             {"incarnation", decision.incarnation.number}});
+}
+
+void Tier::carry_out(const membership::Found& decision) {
+  using membership::Finding;
+  changed_ = true;
+  const Field place{"place", decision.place.number};
+  switch (decision.finding) {
+    case Finding::stopped:
+      return log_.warn("fleet", "this process stood still", {{"ms", std::llround(decision.span)}});
+    case Finding::refuted:
+      return log_.warn("fleet", "was suspected, says that it is there", {{"by", decision.place.number}});
+    case Finding::contested:
+      return log_.warn("fleet", "its name is heard of elsewhere", {place});
+    case Finding::yields:
+      return log_.error("fleet", "another front has its name, stays out of the fleet", {place});
+    case Finding::claims:
+      return log_.warn("fleet", "takes its name, nobody answers to it elsewhere", {place});
+  }
+}
+
+std::string Tier::status() const {
+  const membership::View view = membership_->view();
+  nlohmann::json fellows = nlohmann::json::array();
+  for (const membership::FellowView& fellow : view.fellows)
+    fellows.push_back({{"name", fellow.name},
+                       {"place", fellow.place.number},
+                       {"standing", word_of(fellow.standing)},
+                       {"incarnation", fellow.incarnation.number},
+                       {"since", std::llround(fellow.since)}});
+  return nlohmann::json{{"name", name_},
+                        {"place", place_.number},
+                        {"at", std::llround(clock_.now())},
+                        {"version", view.version},
+                        {"incarnation", view.incarnation.number},
+                        {"health", view.health},
+                        {"yielded", view.yielded},
+                        {"fellows", std::move(fellows)},
+                        {"dropped",
+                         {{"unread", view.dropped.unread},
+                          {"strange", view.dropped.strange},
+                          {"flood", view.dropped.flood},
+                          {"late", view.dropped.late}}}}
+      .dump();
+}
+
+// Whoever reads it finds a whole one: it is written beside and then takes the old one's name.
+void Tier::write_status() {
+  if (path_.empty()) return;
+  written_ = clock_.now();
+  const std::string beside = path_ + ".new";
+  std::ofstream file(beside, std::ios::trunc);
+  file << status() << '\n';
+  file.close();
+  if (!file || std::rename(beside.c_str(), path_.c_str()) != 0)
+    log_.warn("fleet", "status file can't be written", {{"path", path_}});
+  write_ = timers_.set(written_ + kWriteAtLeast, [this] { write_.reset(), write_status(); });
+}
+
+}  // namespace reedspindle::front
--- a/src/links/clock.hpp
+++ b/src/links/clock.hpp
@@ -14,12 +14,16 @@
 
 class Clock {
  public:
+  // Set apart from the machine's by as much, for trials.
+  explicit Clock(Millis apart = 0) : apart_(apart) {}
+
   Millis now() const {
     using Fraction = std::chrono::duration<double, std::milli>;
-    return start_ + Fraction(std::chrono::steady_clock::now() - steady_start_).count();
+    return start_ + apart_ + Fraction(std::chrono::steady_clock::now() - steady_start_).count();
   }
 
  private:
+  const Millis apart_;
   const std::chrono::steady_clock::time_point steady_start_ = std::chrono::steady_clock::now();
   const Millis start_ =
       std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
--- a/src/links/log.cpp
+++ b/src/links/log.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace reedspindle::links {
@@ -91,24 +92,34 @@
   int lost_ = 0;
 };
 
+LogManner log_manner_in(const nlohmann::json& log) {
+  const std::string level = log["level"];
+  return {log["form"] == "json" ? LogForm::json : LogForm::text,
+          level == "debug"  ? LogLevel::debug
+          : level == "info" ? LogLevel::info
+          : level == "warn" ? LogLevel::warn
+                            : LogLevel::error,
+          log["lines-of-a-kind"]};
+}
+
 Log::Log(const Clock& clock)
     : clock_(clock),
       waiting_(std::make_shared<Waiting>()),
       logger_(std::make_unique<spdlog::logger>("", waiting_)) {
-  be(form_, level_, lines_of_a_kind_);
+  be({});
 }
 
 Log::~Log() { flush(); }
 
-void Log::be(LogForm form, LogLevel level, int lines_of_a_kind) {
-  form_ = form, level_ = level, lines_of_a_kind_ = lines_of_a_kind;
-  const char* pattern = form == LogForm::json ? "{\"time\":%E.%e,\"level\":\"%l\",%v}" : "%E.%e %l %v";
+void Log::be(const LogManner& manner) {
+  manner_ = manner;
+  const char* pattern = manner.form == LogForm::json ? "{\"time\":%E.%e,\"level\":\"%l\",%v}" : "%E.%e %l %v";
   logger_->set_formatter(std::make_unique<spdlog::pattern_formatter>(pattern));
-  logger_->set_level(level_of(level));
+  logger_->set_level(level_of(manner.level));
 }
 
 void Log::line(LogLevel level, std::string_view kind, std::string_view event, Fields fields) {
-  if (level < level_) return;
+  if (level < manner_.level) return;
   const Millis now = clock_.now();
   auto of = kinds_.find(kind);
   if (of == kinds_.end()) of = kinds_.emplace(kind, Kind{}).first;
@@ -117,13 +128,13 @@
     left_out = of->second.dropped;
     of->second = {now, 0, 0};
   }
-  if (++of->second.written > lines_of_a_kind_) return void(++of->second.dropped);
+  if (++of->second.written > manner_.lines_of_a_kind) return void(++of->second.dropped);
   const auto write = [this](LogLevel at, const std::string& text) {
     logger_->log(level_of(at), spdlog::string_view_t(text));
   };
   const auto put = [&](LogLevel at, std::string_view part, std::string_view what, Fields told, int missing) {
-    write(at,
-          form_ == LogForm::json ? json_of(part, what, told, missing) : text_of(part, what, told, missing));
+    write(at, manner_.form == LogForm::json ? json_of(part, what, told, missing)
+                                            : text_of(part, what, told, missing));
   };
   if (const int lost = waiting_->lost(); lost > 0)
     put(LogLevel::warn, "log", "lines lost", {{"lines", lost}}, 0);
--- a/src/links/log.hpp
+++ b/src/links/log.hpp
@@ -8,6 +8,7 @@
 #include <initializer_list>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -32,6 +33,13 @@
 
 enum class LogForm { text, json };
 enum class LogLevel { debug, info, warn, error };
+struct LogManner {
+  LogForm form = LogForm::text;
+  LogLevel level = LogLevel::info;
+  int lines_of_a_kind = 5;  // in ten seconds: enough to see what it is and that it goes on
+};
+// Of the operators' file, complete and checked.
+LogManner log_manner_in(const nlohmann::json& log);
 
 class Log {
  public:
@@ -41,8 +49,8 @@
   ~Log();
   Log(const Log&) = delete;
 
-  // From now on; at first text, info, five lines of a kind in ten seconds.
-  void be(LogForm form, LogLevel level, int lines_of_a_kind);
+  // From now on.
+  void be(const LogManner& manner);
 
   // The kind says what part of the program speaks, the event what happened, in one word or two.
   void debug(std::string_view kind, std::string_view event, Fields fields = {}) {
@@ -73,9 +81,7 @@
     int written = 0, dropped = 0;
   };
   const Clock& clock_;
-  LogForm form_ = LogForm::text;
-  LogLevel level_ = LogLevel::info;
-  int lines_of_a_kind_ = 5;  // enough to see what it is and that it goes on
+  LogManner manner_;
   std::map<std::string, Kind, std::less<>> kinds_;
   std::shared_ptr<Waiting> waiting_;
   std::unique_ptr<spdlog::logger> logger_;
--- /dev/null
+++ b/src/membership/fellows.hpp
@@ -0,0 +1,60 @@
+// What is known of each fellow: the words told of it weighed against one another, and the sums by which two
+// fronts find out where they differ.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "membership/membership.hpp"
+
+namespace reedspindle::membership {
+
+struct Fellow {
+  Word word;
+  Millis since = 0;             // of its standing
+  Millis suspected = 0;         // when it came to be suspected
+  Millis proved = 0;            // when it last answered a question of this front's own
+  std::vector<Place> doubters;  // who suspects it, the first few
+};
+
+bool is_here(Standing standing);  // there or suspected
+
+class Fellows {
+ public:
+  explicit Fellows(int most) : most_(most) {}
+
+  // Whether a word outweighs what is held. Of equal incarnations the graver word does.
+  enum class Weight { news, confirmation, known, old };
+  Weight weigh(const Word& word) const;
+  // Takes it as what is held from now on.
+  Fellow& take(const Word& word, Millis now);
+
+  Fellow* find(const std::string& name);
+  const Fellow* find(const std::string& name) const;
+  // Who is here at a place, if anybody.
+  const Fellow* at(Place place) const;
+  const std::map<std::string, Fellow>& all() const { return fellows_; }
+  int here() const { return here_; }
+  // Who has been gone for as long is held no longer, but what is said of that life stays known.
+  std::vector<Word> forget(Millis since);
+  // Nothing said of the name under this incarnation or a lower one is news any more.
+  void bury(const std::string& name, Incarnation last);
+
+  std::vector<std::uint32_t> sums(Range range, const Word& self) const;
+  // Words on all in the range; nothing where they are more than so many.
+  std::optional<std::vector<Word>> words(Range range, const Word& self, std::size_t most) const;
+
+ private:
+  const int most_;
+  int here_ = 0;
+  std::map<std::string, Fellow> fellows_;
+  std::map<Place, std::string> places_;  // of who is here
+  std::map<std::string, Incarnation> graves_;
+  std::deque<std::string> buried_;  // the oldest first
+};
+
+}  // namespace reedspindle::membership
--- /dev/null
+++ b/src/membership/membership.hpp
@@ -0,0 +1,97 @@
+// Who of the tier is there: SWIM with the refinements of Lifeguard, a hash tree against what gossip has
+// missed, and questions to empty places so that what was cut off is found again. Free of I/O: events in,
+// decisions out, as in the decision module. docs/design-membership.md gives the sources and what was changed.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "logic.hpp"
+#include "membership/message.hpp"
+
+namespace reedspindle::membership {
+
+// What a front is told of itself and of how to watch its fellows.
+struct Charge {
+  std::string name;
+  Place place;             // where it stands in the tier's list itself
+  int places = 0;          // how many the list has
+  Millis pace = 500;       // between two probes
+  Millis time_out = 200;   // until fellows are asked to probe as well
+  double patience = 4;     // paces that a suspicion lasts at least, times log10 of how many are there
+  Millis forget = 300000;  // until who is gone is shown no more
+  int most = 4096;         // fronts that are kept
+};
+
+// Events.
+struct Listed {
+  int places = 0;
+};
+struct Heard {
+  Place from;
+  std::string bytes;
+};
+struct Leaving {};
+using Event = std::variant<Listed, Heard, Leaving>;
+
+// Decisions.
+struct Tell {
+  Place to;
+  std::string bytes;
+};
+struct WakeAt {
+  Millis at = 0;
+};
+enum class Happening { joined, suspected, cleared, failed, left, back, moved, forgotten };
+// How a fellow stands has changed in this front's eyes.
+struct Change {
+  std::string name;
+  Place place;
+  Happening happening = Happening::joined;
+  Incarnation incarnation;
+};
+// Something about this front itself.
+enum class Finding { stopped, refuted, contested, yields, claims };
+struct Found {
+  Finding finding = Finding::stopped;
+  Place place;      // of whom it is about, where there is one
+  Millis span = 0;  // stopped: for how long
+};
+using Decision = std::variant<Tell, WakeAt, Change, Found>;
+
+struct FellowView {
+  std::string name;
+  Place place;
+  Standing standing = Standing::there;
+  Incarnation incarnation;
+  Millis since = 0;
+};
+struct Dropped {
+  std::uint64_t unread = 0;   // did not read as a whole
+  std::uint64_t strange = 0;  // came from a place that the sender does not claim
+  std::uint64_t flood = 0;    // beyond what one place may send
+  std::uint64_t late = 0;     // answers to what was not asked, or not any more
+};
+struct View {
+  std::uint64_t version = 0;        // rises with each change
+  Incarnation incarnation;          // of this front
+  int health = 0;                   // how much it doubts itself, from 0
+  bool yielded = false;             // another holds its name
+  std::vector<FellowView> fellows;  // without itself, by name
+  Dropped dropped;
+};
+
+class Membership {
+ public:
+  virtual ~Membership() = default;
+  virtual void note(Event event) = 0;
+  virtual std::vector<Decision> settle(Millis now) = 0;
+  virtual View view() const = 0;
+};
+
+std::unique_ptr<Membership> make_membership(const Charge& charge, std::uint64_t seed);
+
+}  // namespace reedspindle::membership
