reedspindle-rig: real fronts on loopback, every datagram through a relay that breaks links

Change: src/rig reads a plan (S-expressions, checked by plan.json through the operators' reader, which now takes any form), starts fronts as processes that die with it, relays their datagrams link by link (cut both ways or one, slow with jitter, lossy, doubled, garbage, replays), strikes processes (SIGKILL, SIGTERM, SIGSTOP, restart under another name or clock) and waits, step by step, for what the fronts' status files and logs show.

--- a/src/operators/file.cpp
+++ b/src/operators/file.cpp
@@ -17,6 +17,7 @@
 namespace reedspindle::operators {
 
 extern const char* const kSchema;  // schema.json
+const Form kOperatorsFile{"reedspindle", kSchema};
 
 namespace {
 
@@ -38,7 +39,7 @@
 
 // The lines of all opening parentheses, in their order: the library's tree has no places, and its lists come
 // in the same order. What the library would read in ways of its own (quotes by ', binary by #) is a fault.
-std::vector<int> lines_of_lists(std::string_view text, const std::string& name) {
+std::vector<int> lines_of_lists(std::string_view text, const std::string& name, const Form& form) {
   std::vector<int> lines;
   std::vector<int> open;
   int line = 1;
@@ -56,7 +57,8 @@
       }
       if (at >= text.size()) give_up(name, {{from, "a text that begins here is not closed"}});
     } else if (letter == '(') {
-      if (ended) give_up(name, {{line, "more than one list; all stands inside (reedspindle ...)"}});
+      if (ended)
+        give_up(name, {{line, fmt::format("more than one list; all stands inside ({} ...)", form.head)}});
       lines.push_back(line);
       open.push_back(line);
       if (open.size() > kDeepest) give_up(name, {{line, "lists stand too deep in lists"}});
@@ -67,7 +69,7 @@
     } else if (letter == '\'' || letter == '#' || letter == '\0') {
       give_up(name, {{line, fmt::format("the letter {} has no meaning here", letter ? letter : '0')}});
     } else if (open.empty() && !std::isspace(static_cast<unsigned char>(letter))) {
-      give_up(name, {{line, "a list was expected: (reedspindle ...)"}});
+      give_up(name, {{line, fmt::format("a list was expected: ({} ...)", form.head)}});
     }
   }
   if (!open.empty()) give_up(name, {{open.back(), "the list that begins here is not closed"}});
@@ -107,12 +109,13 @@
 
 class Reader {
  public:
-  Reader(std::string name, std::vector<int> lines) : name_(std::move(name)), lines_(std::move(lines)) {}
+  Reader(std::string name, std::vector<int> lines, const Form& form)
+      : name_(std::move(name)), lines_(std::move(lines)), form_(form) {}
 
   File read(const sexp_t* top) {
-    const Json schema = Json::parse(kSchema);
+    const Json schema = Json::parse(form_.schema);
     const int line = next_line();
-    if (head(top) != "reedspindle") give_up(name_, {{line, "(reedspindle ...) was expected"}});
+    if (head(top) != form_.head) give_up(name_, {{line, fmt::format("({} ...) was expected", form_.head)}});
     file_.values = Json::object();
     entries(top->list->next, schema, file_.values, "");
     check(schema);
@@ -316,6 +319,7 @@
 
   const std::string name_;
   const std::vector<int> lines_;
+  const Form& form_;
   std::size_t next_ = 0;
   File file_;
   std::vector<Fault> faults_;
@@ -358,17 +362,17 @@
       }()),
       lines(std::move(of)) {}
 
-File read_text(std::string_view text, const std::string& name) {
+File read_text(std::string_view text, const std::string& name, const Form& form) {
   if (text.size() > kLongestFile) give_up(name, {{1, "the file is longer than 1 MiB"}});
-  std::vector<int> lines = lines_of_lists(text, name);
-  if (lines.empty()) give_up(name, {{1, "a list was expected: (reedspindle ...)"}});
+  std::vector<int> lines = lines_of_lists(text, name, form);
+  if (lines.empty()) give_up(name, {{1, fmt::format("a list was expected: ({} ...)", form.head)}});
   std::string copy(text);
   const std::unique_ptr<sexp_t, void (*)(sexp_t*)> tree(parse_sexp(copy.data(), copy.size()), destroy_sexp);
   if (!tree) give_up(name, {{1, "it does not read as S-expressions"}});
-  return Reader(name, std::move(lines)).read(tree.get());
+  return Reader(name, std::move(lines), form).read(tree.get());
 }
 
-File read_file(const std::string& path) {
+File read_file(const std::string& path, const Form& form) {
   std::ifstream stream(path, std::ios::binary);
   std::string text;
   if (stream) {
@@ -378,12 +382,12 @@
   }
   if (stream.bad() || (!stream.eof() && !stream) || !stream.is_open())
     throw Faulty({fmt::format("{}: can't be read", path)});
-  return read_text(text, path);
+  return read_text(text, path, form);
 }
 
-std::vector<std::string> show(const File& file) {
+std::vector<std::string> show(const File& file, const Form& form) {
   std::vector<std::string> lines;
-  show_into(Json::parse(kSchema), file.values, "", file, lines);
+  show_into(Json::parse(form.schema), file.values, "", file, lines);
   return lines;
 }
 
--- a/src/operators/file.hpp
+++ b/src/operators/file.hpp
@@ -33,11 +33,18 @@
 
 constexpr std::size_t kLongestFile = 1 << 20;
 
+// A file's outermost word and its schema, as JSON.
+struct Form {
+  const char* head;
+  const char* schema;
+};
+extern const Form kOperatorsFile;
+
 // Throws Faulty. The name is for messages.
-File read_text(std::string_view text, const std::string& name);
-File read_file(const std::string& path);
+File read_text(std::string_view text, const std::string& name, const Form& form = kOperatorsFile);
+File read_file(const std::string& path, const Form& form = kOperatorsFile);
 
 // Each value in the file's form with where it comes from, a line each.
-std::vector<std::string> show(const File& file);
+std::vector<std::string> show(const File& file, const Form& form = kOperatorsFile);
 
 }  // namespace reedspindle::operators
--- /dev/null
+++ b/src/rig/main.cpp
@@ -0,0 +1,101 @@
+// The rig's process. Exit codes: 0 all steps held; 1 one did not; 2 a faulty plan or command line.
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include "rig/rig.hpp"
+
+namespace {
+
+using namespace reedspindle;
+
+// A folder of the run's own, gone with it unless it is to be kept.
+class Folder {
+ public:
+  explicit Folder(std::string kept) : keep_(!kept.empty()) {
+    if (keep_) {
+      path_ = std::filesystem::absolute(kept);
+      std::filesystem::create_directories(path_);
+    } else {
+      std::string made = (std::filesystem::temp_directory_path() / "reedspindle-rig-XXXXXX").string();
+      if (!mkdtemp(made.data())) throw std::runtime_error("no folder can be made for the run");
+      path_ = made;
+    }
+  }
+  ~Folder() {
+    std::error_code none;
+    if (!keep_) std::filesystem::remove_all(path_, none);
+  }
+  std::string path() const { return path_; }
+
+ private:
+  const bool keep_;
+  std::filesystem::path path_;
+};
+
+int run(const rig::Plan& plan, const std::string& program, const std::string& keep, bool times) {
+  const Folder folder(keep);
+  rig::Rig rig(plan, program, folder.path());
+  for (const rig::Step& step : plan.steps) {
+    std::cout << rig::text_of(step) << std::endl;
+    const rig::Outcome outcome = rig.carry_out(step);
+    std::string text = step.until == "now" ? "" : step.until;
+    for (const int front : step.of) text += fmt::format(" {}", front);
+    if (!step.none_failed.empty()) text += text.empty() ? "nobody is mistaken" : ", nobody is mistaken";
+    if (times) text += fmt::format("  [{:.2f} s, {}]", outcome.took / 1000, rig.load());
+    if (outcome.held) {
+      if (!text.empty()) std::cout << "  " << text << std::endl;
+      continue;
+    }
+    std::cout << fmt::format("  line {}: not {}: {}", step.line, text, outcome.why) << std::endl;
+    for (const std::string& view : rig.views()) std::cout << "  " << view << '\n';
+    return 1;
+  }
+  if (times)
+    for (const std::string& view : rig.views()) std::cout << view << '\n';
+  return 0;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{"Runs real fronts on loopback and breaks the links between them", "reedspindle-rig"};
+  app.set_version_flag("--version", std::string("reedspindle-rig ") + REEDSPINDLE_VERSION);
+  app.require_subcommand(1);
+  std::string path, keep, program = (std::filesystem::path(words[0]).parent_path() / "reedspindle").string();
+  bool times = false;
+  const auto command = [&](const char* name, const char* what) {
+    CLI::App* added = app.add_subcommand(name, what);
+    added->add_option("plan", path, "the plan")->required();
+    return added;
+  };
+  CLI::App* running = command("run", "carry the plan out");
+  running->add_option("--program", program, "the front; beside this program otherwise");
+  running->add_option("--keep", keep, "a folder for the processes' files and logs, which stays");
+  running->add_flag("--times", times, "how long each step took, what was sent, and each view at the end");
+  CLI::App* check = command("check", "read the plan, name all that is faulty in it");
+  CLI::App* show = command("show", "print the steps");
+  try {
+    app.parse(count, words);
+  } catch (const CLI::ParseError& fault) {
+    return app.exit(fault) == 0 ? 0 : 2;
+  }
+  try {
+    const rig::Plan plan = rig::plan_in(operators::read_file(path, rig::kPlan), path);
+    if (*check) std::cout << path << ": sound\n";
+    if (*show)
+      for (const rig::Step& step : plan.steps) std::cout << rig::text_of(step) << '\n';
+    return *running ? run(plan, program, keep, times) : 0;
+  } catch (const operators::Faulty& faulty) {
+    std::cerr << faulty.what() << '\n';
+    return 2;
+  } catch (const std::exception& fault) {
+    std::cerr << "reedspindle-rig: " << fault.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/rig/plan.hpp
@@ -0,0 +1,39 @@
+// A plan of the rig: how many fronts, and what happens to them step by step. An S-expression, checked by
+// plan.json as the operators' file is by its own schema.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "membership/membership.hpp"
+#include "operators/file.hpp"
+
+namespace reedspindle::rig {
+
+extern const operators::Form kPlan;
+
+struct Step {
+  std::string fault, name, until;
+  std::set<int> fronts, to, of, none_failed;
+  Millis clock = 0, by = 0, jitter = 0, lasts = 0, within = 0;
+  double share = 0;
+  int count = 0;
+  int line = 0;  // of the plan
+};
+
+struct Plan {
+  int fronts = 0;
+  std::uint64_t seed = 0;
+  Millis longest = 0;
+  membership::Charge fleet;
+  std::vector<Step> steps;
+};
+
+// Throws operators::Faulty.
+Plan plan_in(const operators::File& file, const std::string& path);
+// What a step does, as one line.
+std::string text_of(const Step& step);
+
+}  // namespace reedspindle::rig
--- /dev/null
+++ b/src/rig/process.cpp
@@ -0,0 +1,85 @@
+#include "rig/process.hpp"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace reedspindle::rig {
+
+Process::Process(std::string program, std::string folder, std::string label)
+    : program_(std::move(program)), folder_(std::move(folder)), label_(std::move(label)) {}
+
+Process::~Process() { signal(SIGKILL); }
+
+void Process::start(const std::string& placement, const std::string& orders) {
+  if (up()) return;
+  if (ending_) signal(SIGKILL);  // it was told to end and has not yet
+  const std::string base = folder_ + "/" + label_;
+  std::ofstream(base + ".json") << placement;
+  std::ofstream(base + ".sexp") << orders;
+  std::error_code none;
+  std::filesystem::remove(status_path(), none);
+  const std::string orders_path = base + ".sexp", placement_path = base + ".json", log_path = base + ".log";
+  const pid_t rig = getpid();
+  pid_ = fork();
+  if (pid_ != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() != rig) _exit(127);  // the rig has ended in between
+  const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  dup2(log, STDERR_FILENO);
+  for (int fd = 3; fd < 4096; ++fd) close(fd);  // the rig's sockets are not its
+  for (const char* variable : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) unsetenv(variable);
+  setenv("ROUTER_CONFIG", placement_path.c_str(), 1);
+  execl(program_.c_str(), program_.c_str(), "run", orders_path.c_str(), nullptr);
+  _exit(127);
+}
+
+void Process::signal(int signal) {
+  if (pid_ <= 0) return;
+  kill(pid_, signal);
+  if (signal == SIGSTOP) stopped_ = true;
+  if (signal == SIGCONT) stopped_ = false;
+  if (signal == SIGTERM) {
+    ending_ = true;
+    if (std::exchange(stopped_, false)) kill(pid_, SIGCONT);
+  }
+  if (signal == SIGKILL) {
+    waitpid(std::exchange(pid_, 0), nullptr, 0);
+    stopped_ = ending_ = false;
+  }
+}
+
+bool Process::crashed() {
+  if (pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) != pid_) return false;
+  pid_ = 0;
+  return !std::exchange(ending_, false);
+}
+
+nlohmann::json Process::status() const {
+  std::ifstream file(status_path());
+  const std::string text((std::istreambuf_iterator<char>(file)), {});
+  const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+  return json.is_object() ? json : nlohmann::json();
+}
+
+std::vector<nlohmann::json> Process::log_lines() {
+  std::vector<nlohmann::json> lines;
+  std::ifstream file(folder_ + "/" + label_ + ".log");
+  file.seekg(static_cast<std::streamoff>(log_read_));
+  for (std::string line; std::getline(file, line) && !file.eof();) {
+    log_read_ += line.size() + 1;
+    const nlohmann::json json = nlohmann::json::parse(line, nullptr, false);
+    if (json.is_object()) lines.push_back(json);
+  }
+  return lines;
+}
+
+}  // namespace reedspindle::rig
--- /dev/null
+++ b/src/rig/process.hpp
@@ -0,0 +1,43 @@
+// A front as a child process of the rig: its placement and operators' file, signals, its log and its status.
+// It dies with the rig, however that ends.
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "logic.hpp"
+
+namespace reedspindle::rig {
+
+class Process {
+ public:
+  // Its files are in the folder under its label, which stays while its name may change.
+  Process(std::string program, std::string folder, std::string label);
+  ~Process();
+  Process(const Process&) = delete;
+
+  void start(const std::string& placement, const std::string& orders);
+  void signal(int signal);  // SIGSTOP, SIGCONT and such as end it
+  bool up() const { return pid_ > 0 && !ending_; }
+  bool stopped() const { return stopped_; }
+  // Looks whether it has ended. True: it did by itself, which a front that was not told to must not.
+  bool crashed();
+  pid_t pid() const { return pid_; }
+
+  std::string status_path() const { return folder_ + "/" + label_ + ".status"; }
+  // What it said last of its fellows in this life; null: nothing yet.
+  nlohmann::json status() const;
+  // Lines of its log that came since the last call, those that read as JSON.
+  std::vector<nlohmann::json> log_lines();
+
+ private:
+  const std::string program_, folder_, label_;
+  pid_t pid_ = 0;
+  bool stopped_ = false, ending_ = false;
+  std::size_t log_read_ = 0;
+};
+
+}  // namespace reedspindle::rig
--- /dev/null
+++ b/src/rig/rig.cpp
@@ -0,0 +1,223 @@
+#include "rig/rig.hpp"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace reedspindle::rig {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Millis kLook = 20;         // between two looks at what is waited for
+constexpr int kPort = 20000;         // of front 0; the relay stands in for it on another address
+constexpr int kLinesOfAKind = 1000;  // of a front's log in ten seconds
+
+// Addresses of this process' own, so that rigs side by side don't meet.
+asio::ip::udp::endpoint own(int role, int number) {
+  const int pid = getpid();
+  return {
+      asio::ip::make_address(fmt::format("127.{}.{}.{}", role + (pid >> 16 & 31), pid >> 8 & 255, pid & 255)),
+      static_cast<std::uint16_t>(kPort + number)};
+}
+
+std::string text_of(const asio::ip::udp::endpoint& endpoint) {
+  return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+}
+
+}  // namespace
+
+Rig::Rig(Plan plan, std::string program, std::string folder)
+    : plan_(std::move(plan)), io_(1), timers_(io_, clock_), began_(clock_.now()) {
+  for (int front = 0; front < plan_.fronts; ++front) {
+    fronts_.push_back(own(160, front)), stands_.push_back(own(192, front));
+    names_.push_back(fmt::format("n{}", front));
+    processes_.push_back(std::make_unique<Process>(program, folder, names_.back()));
+  }
+  relay_ = std::make_unique<Relay>(io_, timers_, clock_, fronts_, stands_, plan_.seed);
+}
+
+void Rig::start(int front, const Step& step) {
+  if (!step.name.empty()) names_[static_cast<std::size_t>(front)] = step.name;
+  Json peers = Json::array();
+  for (const auto& stand : stands_) peers.push_back(text_of(stand));
+  const auto at = static_cast<std::size_t>(front);
+  // Nobody answers for discovery yet: fronts run without stores.
+  const Json placement = {
+      {"name", name_of(front)},
+      {"listen", text_of(fronts_[at])},
+      {"discovery", fmt::format("{}:1", stands_[0].address().to_string())},
+      {"seed", fmt::format("{:x}", plan_.seed * 1000 + static_cast<std::uint64_t>(front) + 1)},
+      {"peer_listen", text_of(fronts_[at])},
+      {"peers", peers},
+      {"peers_all", text_of(stands_[at])},
+      {"settings", {{"requestClasses", Json::array({{{"name", "look"}, {"effect", "repeatable"}}})}}}};
+  const membership::Charge& fleet = plan_.fleet;
+  process(front).start(
+      placement.dump(),
+      fmt::format(
+          "(reedspindle (log (form json) (lines-of-a-kind {}))\n (clock (offset {}ms))\n"
+          " (fleet (place {}) (pace {}ms) (time-out {}ms) (patience {}) (forget {}ms) (status \"{}\")))\n",
+          kLinesOfAKind, step.clock, front, fleet.pace, fleet.time_out, fleet.patience, fleet.forget,
+          process(front).status_path()));
+}
+
+void Rig::strike(const Step& step) {
+  const auto each = [&](auto strike) {
+    for (const int front : step.fronts) strike(front);
+  };
+  // Of all links of and to these.
+  const auto links = [&](auto change) {
+    each([&](int front) {
+      for (int other = 0; other < plan_.fronts; ++other)
+        change(relay_->link(front, other)), change(relay_->link(other, front));
+    });
+  };
+  if (step.fault == "start") each([&](int front) { start(front, step); });
+  if (step.fault == "kill") each([&](int front) { process(front).signal(SIGKILL); });
+  if (step.fault == "end") each([&](int front) { process(front).signal(SIGTERM); });
+  if (step.fault == "stop") each([&](int front) { process(front).signal(SIGSTOP); });
+  if (step.fault == "wake") each([&](int front) { process(front).signal(SIGCONT); });
+  if (step.fault.starts_with("cut"))
+    each([&](int front) {
+      for (const int other : step.to) {
+        relay_->link(front, other).cut = true;
+        if (step.fault == "cut") relay_->link(other, front).cut = true;
+      }
+    });
+  if (step.fault == "heal") relay_->heal();
+  if (step.fault == "slow") links([&](Link& link) { link.by = step.by, link.jitter = step.jitter; });
+  if (step.fault == "loss") links([&](Link& link) { link.loss = step.share; });
+  if (step.fault == "doubled") links([&](Link& link) { link.doubled = step.share; });
+  if (step.fault == "garbage" || step.fault == "replay")
+    each([&](int front) {
+      for (const int other : step.to)
+        step.fault == "garbage" ? relay_->garbage(front, other, step.count)
+                                : relay_->replay(front, other, step.count);
+    });
+}
+
+void Rig::run(Millis span) {
+  io_.restart();
+  // Something to wait for even while no front speaks.
+  const auto turn = timers_.set(clock_.now() + span, [] {});
+  io_.run_for(std::chrono::microseconds(static_cast<long long>(span * 1000)));
+  timers_.drop(turn);
+}
+
+Outcome Rig::carry_out(const Step& step) {
+  before_.clear();
+  for (int front = 0; front < plan_.fronts; ++front) before_.push_back(relay_->carried(front));
+  for (int front = 0; front < plan_.fronts; ++front) process(front).log_lines();
+  const Millis from = clock_.now();
+  strike(step);
+  for (;;) {
+    run(std::min(kLook, std::max(1.0, from + step.lasts - clock_.now())));
+    const Millis took = spent_ = clock_.now() - from;
+    for (int front = 0; front < plan_.fronts; ++front)
+      if (process(front).crashed())
+        return {false, took, fmt::format("{} has ended by itself", name_of(front))};
+    if (std::string why = mistaken(step); !why.empty()) return {false, took, std::move(why)};
+    if (clock_.now() - began_ > plan_.longest) return {false, took, "the whole run has taken too long"};
+    if (took < step.lasts) continue;
+    std::string why = missing(step);
+    if (why.empty()) return {true, took, ""};
+    if (took > step.lasts + step.within) return {false, took, std::move(why)};
+  }
+}
+
+// How the others hold whom the step names, or one another.
+std::string Rig::missing(const Step& step) const {
+  if (step.until == "now") return "";
+  std::set<int> running;
+  for (int front = 0; front < plan_.fronts; ++front)
+    if (process(front).up() && !process(front).stopped()) running.insert(front);
+  for (const int front : step.until == "yielded" ? step.of : running) {
+    const Json status = process(front).status();
+    if (status.is_null()) return fmt::format("{} has said nothing yet", name_of(front));
+    if (step.until == "yielded") {
+      if (!status["yielded"].get<bool>()) return fmt::format("{} has not yielded", name_of(front));
+      continue;
+    }
+    if (status["yielded"].get<bool>()) continue;  // out of the fleet
+    std::string why;
+    if (step.until == "agreed") {
+      why = hold(front, running, "there", true);
+    } else if (!step.of.contains(front)) {
+      why = hold(front, step.of, step.until, false);
+    }
+    if (!why.empty()) return why;
+  }
+  return "";
+}
+
+// Whether a front holds those so, and, where they are to be alone, nobody else here.
+std::string Rig::hold(int front, const std::set<int>& of, const std::string& standing, bool alone) const {
+  std::map<std::string, std::string> held;
+  const Json status = process(front).status();
+  for (const Json& fellow : status["fellows"]) held[fellow["name"]] = fellow["standing"];
+  std::set<std::string> named{name_of(front)};
+  for (const int other : of) {
+    const std::string name = name_of(other);
+    if (!named.insert(name).second) continue;  // itself, or a name that two have
+    const auto found = held.find(name);
+    const std::string is = found == held.end() ? "unknown" : found->second;
+    if (is != standing && !(standing == "failed" && is == "unknown"))
+      return fmt::format("{} holds {} {}, not {}", name_of(front), name, is, standing);
+  }
+  if (!alone) return "";
+  for (const auto& [name, is] : held)
+    if (!named.contains(name) && (is == "there" || is == "suspected"))
+      return fmt::format("{} holds {} {}, who is not there", name_of(front), name, is);
+  return "";
+}
+
+// Whom somebody has come to hold failed in this step who must not be.
+std::string Rig::mistaken(const Step& step) {
+  if (step.none_failed.empty()) return "";
+  std::set<std::string> spared;
+  for (const int front : step.none_failed) spared.insert(name_of(front));
+  for (int front = 0; front < plan_.fronts; ++front)
+    for (const Json& line : process(front).log_lines())
+      if (line.value("kind", "") == "fleet" && line.value("event", "") == "failed" &&
+          spared.contains(line.value("front", "")))
+        return fmt::format("{} came to hold {} failed", name_of(front), line["front"].get<std::string>());
+  return "";
+}
+
+std::vector<std::string> Rig::views() const {
+  std::vector<std::string> lines;
+  for (int front = 0; front < plan_.fronts; ++front) {
+    const Json status = process(front).status();
+    std::string line = fmt::format("{} {:8}", name_of(front),
+                                   !process(front).up()       ? "down"
+                                   : process(front).stopped() ? "stopped"
+                                                              : "up");
+    if (!status.is_null()) {
+      line += fmt::format(" version {} health {}", status["version"].dump(), status["health"].dump());
+      std::map<std::string, std::string> by_standing;
+      for (const Json& fellow : status["fellows"])
+        by_standing[fellow["standing"]].append(fmt::format(" {}", fellow["name"].get<std::string>()));
+      for (const auto& [standing, names] : by_standing) line += fmt::format("; {}:{}", standing, names);
+    }
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+std::string Rig::load() const {
+  double datagrams = 0, bytes = 0;
+  for (int front = 0; front < plan_.fronts; ++front) {
+    const Carried now = relay_->carried(front), then = before_.at(static_cast<std::size_t>(front));
+    datagrams += static_cast<double>(now.datagrams - then.datagrams);
+    bytes += static_cast<double>(now.bytes - then.bytes);
+  }
+  const double seconds = std::max(1.0, spent_) / 1000 * plan_.fronts;
+  return fmt::format("{:.1f} datagrams/s {:.0f} B/s", datagrams / seconds, bytes / seconds);
+}
+
+}  // namespace reedspindle::rig
--- /dev/null
+++ b/src/rig/rig.hpp
@@ -0,0 +1,61 @@
+// Carries a plan out: starts the fronts, strikes them and their links step by step, waits for what each step
+// names and says what came of it. One thread, one loop; chance from the plan's seed.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "links/clock.hpp"
+#include "rig/plan.hpp"
+#include "rig/process.hpp"
+#include "rig/relay.hpp"
+
+namespace reedspindle::rig {
+
+// What came of a step.
+struct Outcome {
+  bool held = false;
+  Millis took = 0;
+  std::string why;  // where it did not hold
+};
+
+class Rig {
+ public:
+  Rig(Plan plan, std::string program, std::string folder);
+
+  Outcome carry_out(const Step& step);
+  const Plan& plan() const { return plan_; }
+  // Each process' view side by side, a line a process.
+  std::vector<std::string> views() const;
+  // What the fronts sent one another in the last step, a second and front.
+  std::string load() const;
+
+ private:
+  void strike(const Step& step);
+  void start(int front, const Step& step);
+  void run(Millis span);
+  // Empty: it is so.
+  std::string missing(const Step& step) const;
+  std::string hold(int front, const std::set<int>& of, const std::string& standing, bool alone) const;
+  std::string mistaken(const Step& step);
+  std::string name_of(int front) const { return names_.at(static_cast<std::size_t>(front)); }
+  Process& process(int front) { return *processes_.at(static_cast<std::size_t>(front)); }
+  const Process& process(int front) const { return *processes_.at(static_cast<std::size_t>(front)); }
+
+  const Plan plan_;
+  asio::io_context io_;
+  const links::Clock clock_;
+  links::Timers timers_;
+  std::vector<asio::ip::udp::endpoint> fronts_, stands_;
+  std::unique_ptr<Relay> relay_;
+  std::vector<std::string> names_;
+  std::vector<std::unique_ptr<Process>> processes_;
+  std::vector<Carried> before_;
+  Millis spent_ = 0;
+  const Millis began_;
+};
+
+}  // namespace reedspindle::rig
