Lists of fellows that grow and shrink in the rig; suspects kept apart from the other fellows

The core walked over all fellows at each datagram for suspicions and for whom to forget; suspects are now a set and forgetting is looked at once a pace, which moves the times of 'forgotten' in one trace by up to a pace.

--- a/src/membership/fellows.cpp
+++ b/src/membership/fellows.cpp
@@ -51,7 +51,8 @@
   if (fellow.word.standing != word.standing || fellow.word.place.number < 0) fellow.since = now;
   fellow.word = word;
   fellow.doubters.clear();
-  if (word.standing == Standing::suspected) fellow.suspected = now;
+  suspects_.erase(word.name);
+  if (word.standing == Standing::suspected) fellow.suspected = now, suspects_.insert(word.name);
   if (is_here(word.standing)) ++here_, places_[word.place] = word.name;
   return fellow;
 }
--- a/src/membership/fellows.hpp
+++ b/src/membership/fellows.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,7 @@
   const Fellow* at(Place place) const;
   const std::map<std::string, Fellow>& all() const { return fellows_; }
   int here() const { return here_; }
+  const std::set<std::string>& suspects() const { return suspects_; }
   // Who has been gone for as long is held no longer, but what is said of that life stays known.
   std::vector<Word> forget(Millis since);
   // Nothing said of the name under this incarnation or a lower one is news any more.
@@ -53,6 +55,7 @@
   int here_ = 0;
   std::map<std::string, Fellow> fellows_;
   std::map<Place, std::string> places_;  // of who is here
+  std::set<std::string> suspects_;
   std::map<std::string, Incarnation> graves_;
   std::deque<std::string> buried_;  // the oldest first
 };
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -52,6 +52,7 @@
     if (now_ >= next_count_) {
       std::ranges::fill(heard_of_, 0);
       spare_ = kSpare, next_count_ = now_ + charge_.pace;
+      for (const Word& word : fellows_.forget(now_ - charge_.forget)) change(word, Happening::forgotten);
     }
     for (Event& event : std::exchange(events_, {}))
       std::visit([this](const auto& happened) { take(happened); }, event);
@@ -60,7 +61,6 @@
       if (!yielded_) run_errands(), probe(), seek(), compare();
     }
     judge();
-    for (const Word& word : fellows_.forget(now_ - charge_.forget)) change(word, Happening::forgotten);
     wake();
     return std::move(decisions_);
   }
@@ -120,8 +120,7 @@
     probe_.reset();
     errands_.clear();
     next_probe_ = now;
-    for (const auto& [name, fellow] : fellows_.all())
-      if (fellow.word.standing == Standing::suspected) fellows_.find(name)->suspected += gap;
+    for (const std::string& name : fellows_.suspects()) fellows_.find(name)->suspected += gap;
   }
 
   // What was heard.
@@ -442,8 +441,8 @@
   // Ends suspicions. The fewer others share one, the longer it lasts: then it may be ourselves.
   void judge() {
     std::vector<Word> failed;
-    for (const auto& [name, fellow] : fellows_.all())
-      if (fellow.word.standing == Standing::suspected && now_ >= ends(fellow)) failed.push_back(fellow.word);
+    for (const std::string& name : fellows_.suspects())
+      if (const Fellow& fellow = *fellows_.find(name); now_ >= ends(fellow)) failed.push_back(fellow.word);
     for (Word& word : failed) {
       // Who has answered this front itself since is not gone in its eyes; it gets the time once more.
       if (Fellow& fellow = *fellows_.find(word.name); fellow.proved > fellow.suspected) {
@@ -587,8 +586,7 @@
         for (const Errand& errand : errands_) at(errand.until);
       }
     }
-    for (const auto& [name, fellow] : fellows_.all())
-      if (fellow.word.standing == Standing::suspected) at(ends(fellow));
+    for (const std::string& name : fellows_.suspects()) at(ends(*fellows_.find(name)));
     // Alone with its farewell it still minds its clock, so that a gap can be told from quiet.
     wake_ = std::max(now_, std::min(next, now_ + charge_.pace));
     decisions_.push_back(WakeAt{wake_});
--- a/src/rig/process.cpp
+++ b/src/rig/process.cpp
@@ -42,6 +42,11 @@
   _exit(127);
 }
 
+void Process::reload(const std::string& placement) {
+  std::ofstream(folder_ + "/" + label_ + ".json") << placement;
+  if (up()) signal(SIGHUP);
+}
+
 void Process::signal(int signal) {
   if (pid_ <= 0) return;
   kill(pid_, signal);
--- a/src/rig/process.hpp
+++ b/src/rig/process.hpp
@@ -20,6 +20,8 @@
   Process(const Process&) = delete;
 
   void start(const std::string& placement, const std::string& orders);
+  // The placement is another from now on, and it is told so.
+  void reload(const std::string& placement);
   void signal(int signal);  // SIGSTOP, SIGCONT and such as end it
   bool up() const { return pid_ > 0 && !ending_; }
   bool stopped() const { return stopped_; }
--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -32,7 +32,7 @@
 }  // namespace
 
 Rig::Rig(Plan plan, std::string program, std::string folder)
-    : plan_(std::move(plan)), io_(1), timers_(io_, clock_), began_(clock_.now()) {
+    : plan_(std::move(plan)), io_(1), timers_(io_, clock_), listed_(plan_.fronts), began_(clock_.now()) {
   for (int front = 0; front < plan_.fronts; ++front) {
     fronts_.push_back(own(160, front)), stands_.push_back(own(192, front));
     names_.push_back(fmt::format("n{}", front));
@@ -43,8 +43,20 @@
 
 void Rig::start(int front, const Step& step) {
   if (!step.name.empty()) names_[static_cast<std::size_t>(front)] = step.name;
+  const membership::Charge& fleet = plan_.fleet;
+  process(front).start(
+      placement_of(front),
+      fmt::format(
+          "(reedspindle (log (form json) (lines-of-a-kind {}))\n (clock (offset {}ms))\n"
+          " (fleet (place {}) (pace {}ms) (time-out {}ms) (patience {}) (forget {}ms) (status \"{}\")))\n",
+          kLinesOfAKind, step.clock, front, fleet.pace, fleet.time_out, fleet.patience, fleet.forget,
+          process(front).status_path()));
+}
+
+std::string Rig::placement_of(int front) const {
   Json peers = Json::array();
-  for (const auto& stand : stands_) peers.push_back(text_of(stand));
+  for (int place = 0; place < listed_; ++place)
+    peers.push_back(text_of(stands_[static_cast<std::size_t>(place)]));
   const auto at = static_cast<std::size_t>(front);
   // Nobody answers for discovery yet: fronts run without stores.
   const Json placement = {
@@ -56,14 +68,7 @@
       {"peers", peers},
       {"peers_all", text_of(stands_[at])},
       {"settings", {{"requestClasses", Json::array({{{"name", "look"}, {"effect", "repeatable"}}})}}}};
-  const membership::Charge& fleet = plan_.fleet;
-  process(front).start(
-      placement.dump(),
-      fmt::format(
-          "(reedspindle (log (form json) (lines-of-a-kind {}))\n (clock (offset {}ms))\n"
-          " (fleet (place {}) (pace {}ms) (time-out {}ms) (patience {}) (forget {}ms) (status \"{}\")))\n",
-          kLinesOfAKind, step.clock, front, fleet.pace, fleet.time_out, fleet.patience, fleet.forget,
-          process(front).status_path()));
+  return placement.dump();
 }
 
 void Rig::strike(const Step& step) {
@@ -90,6 +95,10 @@
       }
     });
   if (step.fault == "heal") relay_->heal();
+  if (step.fault == "list") {
+    listed_ = std::min(step.count, plan_.fronts);
+    each([&](int front) { process(front).reload(placement_of(front)); });
+  }
   if (step.fault == "slow") links([&](Link& link) { link.by = step.by, link.jitter = step.jitter; });
   if (step.fault == "loss") links([&](Link& link) { link.loss = step.share; });
   if (step.fault == "doubled") links([&](Link& link) { link.doubled = step.share; });
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -36,6 +36,7 @@
  private:
   void strike(const Step& step);
   void start(int front, const Step& step);
+  std::string placement_of(int front) const;
   void run(Millis span);
   // Empty: it is so.
   std::string missing(const Step& step) const;
@@ -52,6 +53,7 @@
   std::vector<asio::ip::udp::endpoint> fronts_, stands_;
   std::unique_ptr<Relay> relay_;
   std::vector<std::string> names_;
+  int listed_;  // places that the lists have
   std::vector<std::unique_ptr<Process>> processes_;
   std::vector<Carried> before_;
   Millis spent_ = 0;
