--- a/deploy/reedspindle.sexp
+++ b/deploy/reedspindle.sexp
@@ -1,6 +1,7 @@
-; The operators' file. The front takes nothing from it; the control service is started by
-;   reedspindle-control run deploy/reedspindle.sexp
-; All keys, their units and defaults: reedspindle-control show deploy/reedspindle.sexp, and docs/control.md.
+; The operators' file, one for all programs: each takes its own part.
+;   ROUTER_CONFIG=placement.json reedspindle run deploy/reedspindle.sexp    a front; without arguments it takes nothing from here
+;   reedspindle-control run deploy/reedspindle.sexp                         the control service
+; All keys, their units and defaults: show in the place of run; docs/membership.md and docs/control.md.
 (reedspindle
   (log (form json) (level info))
   ; What the stores are asked. Routes go by these names.
@@ -8,6 +9,8 @@
   (op-type (name look) (needs bounded) (bound 1500ms) (effect retryable))
   (op-type (name own) (needs session) (effect retryable))
   (op-type (name report) (needs any) (effect retryable) (latency-target 4s) (op-timeout 8s))
+  ; Who of the tier is there. Off where this list is missing, and on the platform, where a front is started bare.
+  (fleet (pace 500ms) (time-out 200ms) (patience 4) (forget 5m) (status "/run/reedspindle/fleet.json"))
   (stores (cold-from 0.15) (warm-within 15s))
   (control
     (name control-a)
