The rig draws faults from a seed and shows the fleet's views side by side

Fault 'drawn' becomes so many concrete steps when the plan is read, so that 'show' prints them; then all is mended and all must agree.

--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -80,12 +80,19 @@
   running->add_flag("--times", times, "how long each step took, what was sent, and each view at the end");
   CLI::App* check = command("check", "read the plan, name all that is faulty in it");
   CLI::App* show = command("show", "print the steps");
+  CLI::App* fleet =
+      app.add_subcommand("show-fleet", "print the views that the processes of a run wrote last");
+  fleet->add_option("folder", path, "the folder named by --keep")->required();
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& fault) {
     return app.exit(fault) == 0 ? 0 : 2;
   }
   try {
+    if (*fleet) {
+      for (const std::string& view : rig::Rig::views(path)) std::cout << view << '\n';
+      return 0;
+    }
     const rig::Plan plan = rig::plan_in(operators::read_file(path, rig::kPlan), path);
     if (*check) std::cout << path << ": sound\n";
     if (*show)
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <iterator>
+#include <random>
 #include <sstream>
 
 namespace reedspindle::rig {
@@ -40,8 +42,9 @@
   plan.fleet.pace = fleet["pace"], plan.fleet.time_out = fleet["time-out"];
   plan.fleet.patience = fleet["patience"], plan.fleet.forget = fleet["forget"];
   std::vector<std::string> faults;
+  int told_so_far = 0;
   for (const nlohmann::json& told : file.values.value("step", nlohmann::json::array())) {
-    const std::string key = fmt::format("step[{}]", plan.steps.size());
+    const std::string key = fmt::format("step[{}]", told_so_far++);
     Step step;
     step.line = file.lines.at(key);
     step.fault = told["fault"], step.name = told.value("name", ""), step.until = told["until"];
@@ -63,12 +66,46 @@
       fault("'of' goes with until there, failed, left or yielded, and they need it");
     if (!step.name.empty() && (step.fault != "start" || step.fronts.size() != 1))
       fault("'name' goes with the start of one front");
-    plan.steps.push_back(std::move(step));
+    if (step.fault == "drawn") {
+      const std::vector<Step> more =
+          drawn(plan.fronts, step.count, step, plan.seed + static_cast<std::uint64_t>(step.line));
+      plan.steps.insert(plan.steps.end(), more.begin(), more.end());
+    } else {
+      plan.steps.push_back(std::move(step));
+    }
   }
   if (!faults.empty()) throw operators::Faulty(std::move(faults));
   return plan;
 }
 
+std::vector<Step> drawn(int fronts, int count, const Step& like, std::uint64_t seed) {
+  std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1));
+  const auto below = [&random](int most) { return static_cast<int>(random() % static_cast<unsigned>(most)); };
+  Step plain;
+  plain.fault = "none", plain.until = "now", plain.line = like.line, plain.within = like.within;
+  std::vector<Step> steps;
+  for (int turn = 0; turn < count; ++turn) {
+    constexpr const char* kinds[] = {"kill",        "start", "stop", "wake", "cut",
+                                     "cut-one-way", "heal",  "slow", "loss"};
+    Step step = plain;
+    step.fault = kinds[below(std::size(kinds))];
+    step.fronts = {below(fronts)};
+    // A side of a cut is one front or a few; who is on both sides loses nothing by it.
+    if (step.fault.starts_with("cut"))
+      for (int sides = 1 + below(fronts); sides > 0; --sides) step.to.insert(below(fronts));
+    if (step.fault == "slow") step.by = below(300), step.jitter = below(100);
+    if (step.fault == "loss") step.share = below(40) / 100.0;
+    step.lasts = 50 + below(1500);
+    steps.push_back(std::move(step));
+  }
+  for (const char* mended : {"heal", "wake", "start"}) {
+    steps.push_back(plain);
+    steps.back().fault = mended, steps.back().fronts = all_of(fronts);
+  }
+  steps.back().until = "agreed";
+  return steps;
+}
+
 std::string text_of(const Step& step) {
   std::string text = step.fault == "none" ? "nothing" : step.fault;
   if (step.fault != "heal" && step.fault != "none") text += fmt::format(" {}", fmt::join(step.fronts, ","));
--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -29,6 +32,17 @@
   return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
 }
 
+// What a status file says, as the end of a line.
+std::string view_in(const Json& status) {
+  if (status.is_null()) return "";
+  std::map<std::string, std::string> by_standing;
+  for (const Json& fellow : status["fellows"])
+    by_standing[fellow["standing"]].append(fmt::format(" {}", fellow["name"].get<std::string>()));
+  std::string line = fmt::format(" version {} health {}", status["version"].dump(), status["health"].dump());
+  for (const auto& [standing, names] : by_standing) line += fmt::format("; {}:{}", standing, names);
+  return line;
+}
+
 }  // namespace
 
 Rig::Rig(Plan plan, std::string program, std::string folder)
@@ -201,23 +215,27 @@
 std::vector<std::string> Rig::views() const {
   std::vector<std::string> lines;
   for (int front = 0; front < plan_.fronts; ++front) {
-    const Json status = process(front).status();
-    std::string line = fmt::format("{} {:8}", name_of(front),
-                                   !process(front).up()       ? "down"
-                                   : process(front).stopped() ? "stopped"
-                                                              : "up");
-    if (!status.is_null()) {
-      line += fmt::format(" version {} health {}", status["version"].dump(), status["health"].dump());
-      std::map<std::string, std::string> by_standing;
-      for (const Json& fellow : status["fellows"])
-        by_standing[fellow["standing"]].append(fmt::format(" {}", fellow["name"].get<std::string>()));
-      for (const auto& [standing, names] : by_standing) line += fmt::format("; {}:{}", standing, names);
-    }
-    lines.push_back(std::move(line));
+    const char* is = !process(front).up() ? "down" : process(front).stopped() ? "stopped" : "up";
+    lines.push_back(fmt::format("{} {:8}{}", name_of(front), is, view_in(process(front).status())));
   }
   return lines;
 }
 
+std::vector<std::string> Rig::views(const std::string& folder) {
+  std::map<int, std::string> by_place;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.path().extension() != ".status") continue;
+    std::ifstream file(entry.path());
+    const Json status = Json::parse(file, nullptr, false);
+    if (!status.is_object()) continue;
+    by_place[status["place"]] = fmt::format("{}@{} written at {}{}", status["name"].get<std::string>(),
+                                            status["place"].dump(), status["at"].dump(), view_in(status));
+  }
+  std::vector<std::string> lines;
+  for (const auto& [place, line] : by_place) lines.push_back(line);
+  return lines;
+}
+
 std::string Rig::load() const {
   double datagrams = 0, bytes = 0;
   for (int front = 0; front < plan_.fronts; ++front) {
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -30,6 +30,8 @@
   const Plan& plan() const { return plan_; }
   // Each process' view side by side, a line a process.
   std::vector<std::string> views() const;
+  // The same of a folder that a run is using or has left.
+  static std::vector<std::string> views(const std::string& folder);
   // What the fronts sent one another in the last step, a second and front.
   std::string load() const;
 
