--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -32,7 +32,9 @@
 constexpr int kErrands = 64;            // that are run for others at a time, at most
 constexpr int kOfPlace = 64;            // datagrams a pace that one place may send; SWIM's sum is under ten
 constexpr int kTries = 3;               // questions to another that has this front's name, until it is gone
-constexpr double kPacesOfYield = 20;    // after which it is asked again
+constexpr Millis kAhead =
+    86400000;  // of our clock: a day, more than any clock that somebody looks after is wrong
+constexpr double kPacesOfYield = 20;  // after which it is asked again
 
 class Watch final : public Membership {
  public:
@@ -146,7 +148,8 @@
     if (++heard_of_[from] > kOfPlace) return void(++dropped_.flood);
     const auto message = message_in(heard.bytes);
     if (!message) return void(++dropped_.unread);
-    if (message->place != heard.from || message->place == place_) return void(++dropped_.strange);
+    if (message->place != heard.from || message->place == place_ || !likely(message->incarnation))
+      return void(++dropped_.strange);
     if (message->name == charge_.name) return meet_rival(*message);
     if (yielded_) return;
     const std::optional<Word> mistaken = meet(*message);
@@ -154,6 +157,12 @@
     answer(*message, mistaken);
   }
 
+  // Guards against an incarnation from which nobody could rise any more, and against one that outlives its
+  // front.
+  bool likely(Incarnation incarnation) const {
+    return static_cast<double>(incarnation.number) < now_ + kAhead;
+  }
+
   // The sender itself is there. What it should hear of itself, if anything.
   std::optional<Word> meet(const Message& message) {
     // Who answers at a place is the only one there.
@@ -239,7 +248,7 @@
 
   void learn(const Word& word) {
     // Only places of the list are believed.
-    if (word.place.number >= charge_.places) return void(++dropped_.strange);
+    if (word.place.number >= charge_.places || !likely(word.incarnation)) return void(++dropped_.strange);
     if (word.name == charge_.name) return hear_of_self(word);
     switch (fellows_.weigh(word)) {
       case Fellows::Weight::news:
