--- a/src/front/tier.cpp
+++ b/src/front/tier.cpp
@@ -12,17 +12,6 @@
 // The status file is written at most so often, and at least so often, by which readers see that it is alive.
 constexpr Millis kWriteAfter = 200, kWriteAtLeast = 5000;
 
-const char* word_of(membership::Standing standing) {
-  constexpr const char* words[] = {"there", "suspected", "failed", "left"};
-  return words[static_cast<int>(standing)];
-}
-
-const char* word_of(membership::Happening happening) {
-  constexpr const char* words[] = {"joined", "suspected", "cleared", "failed",
-                                   "left",   "back",      "moved",   "forgotten"};
-  return words[static_cast<int>(happening)];
-}
-
 }  // namespace
 
 Tier::Tier(Timers& timers, const Clock& clock, Log& log, const Placement& placement, const Fleet& fleet,
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -631,6 +631,17 @@
 
 }  // namespace
 
+const char* word_of(Standing standing) {
+  constexpr const char* words[] = {"there", "suspected", "failed", "left"};
+  return words[static_cast<int>(standing)];
+}
+
+const char* word_of(Happening happening) {
+  constexpr const char* words[] = {"joined", "suspected", "cleared", "failed",
+                                   "left",   "back",      "moved",   "forgotten"};
+  return words[static_cast<int>(happening)];
+}
+
 std::unique_ptr<Membership> make_membership(const Charge& charge, std::uint64_t seed) {
   return std::make_unique<Watch>(charge, seed);
 }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -46,6 +46,8 @@
   Millis at = 0;
 };
 enum class Happening { joined, suspected, cleared, failed, left, back, moved, forgotten };
+const char* word_of(Standing standing);
+const char* word_of(Happening happening);
 // How a fellow stands has changed in this front's eyes.
 struct Change {
   std::string name;
--- a/tests/membership.cpp
+++ b/tests/membership.cpp
@@ -18,11 +18,6 @@
 using reedspindle::Millis;
 using reedspindle::rig::VirtualFleet;
 
-const char* word_of(Happening happening) {
-  constexpr const char* words[] = {"joined", "suspected", "cleared", "failed",
-                                   "left",   "back",      "moved",   "forgotten"};
-  return words[static_cast<int>(happening)];
-}
 const char* word_of(Finding finding) {
   constexpr const char* words[] = {"stood still", "refuted", "contested", "yields", "claims"};
   return words[static_cast<int>(finding)];
