--- a/src/membership/fellows.hpp
+++ b/src/membership/fellows.hpp
@@ -18,7 +18,6 @@
   Word word;
   Millis since = 0;             // of its standing
   Millis suspected = 0;         // when it came to be suspected
-  Millis proved = 0;            // when it last answered a question of this front's own
   std::vector<Place> doubters;  // who suspects it, the first few
 };
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -226,16 +226,13 @@
 
   void acked(const Message& message) {
     if (probe_ && message.number == probe_->number) {
-      if (Fellow* fellow = fellows_.find(message.name)) fellow->proved = now_;
       probe_.reset();
       health_ = std::max(0, health_ - 1);
       return;
     }
     const auto errand = std::ranges::find(errands_, message.number, &Errand::number);
     if (errand == errands_.end()) {
-      // Late, but an answer: guards against slow links, over which everybody would in turn seem to be gone.
-      if (!std::ranges::count(asked_, std::pair(message.number, message.place))) return void(++dropped_.late);
-      if (Fellow* late = fellows_.find(message.name)) late->proved = now_;
+      if (!std::ranges::count(asked_, std::pair(message.number, message.place))) ++dropped_.late;
       return;
     }
     if (const Fellow* there = fellows_.find(message.name))
@@ -453,11 +450,6 @@
     for (const std::string& name : fellows_.suspects())
       if (const Fellow& fellow = *fellows_.find(name); now_ >= ends(fellow)) failed.push_back(fellow.word);
     for (Word& word : failed) {
-      // Who has answered this front itself since is not gone in its eyes; it gets the time once more.
-      if (Fellow& fellow = *fellows_.find(word.name); fellow.proved > fellow.suspected) {
-        fellow.suspected = now_;
-        continue;
-      }
       word.standing = Standing::failed, word.by = place_;
       accept(word);
     }
