The control service's kept text is made before the start that writes it

WRITE of size 1 ... in Service::start_roster() service.cpp:77', called from the constructor: kept_ was declared behind epoch_, whose initializer assigns it, so a string was written that had not been made yet; what lay there before decided whether that did harm. Ruled out: objects of two sizes (one frame, one class). Lines: order of members in service.hpp. Its test is proxies_* under ASan, which fail without it.

--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -76,6 +76,7 @@
   keep::FolderDisk disk_;
   keep::Store store_;
   Roster roster_;
+  std::string kept_;           // what the store was told last; made before the start's number, which tells it
   const std::uint64_t epoch_;  // the number of this start
   std::unique_ptr<Router> router_;
   Offering offering_;
@@ -83,7 +84,6 @@
   links::Members members_;
   links::List list_;
   std::map<StreamId, Proxy> proxies_;
-  std::string kept_;  // what the store was told last
   Doubt told_doubt_ = Doubt::none;
   // What has happened since the last settle: to a stream, to what the module knows, to the roster.
   bool due_ = true, noted_ = true, listed_ = true;
