--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -46,12 +46,18 @@
 }  // namespace
 
 Rig::Rig(Plan plan, std::string program, std::string folder)
-    : plan_(std::move(plan)), io_(1), timers_(io_, clock_), listed_(plan_.fronts), began_(clock_.now()) {
+    : plan_(std::move(plan)),
+      io_(1),
+      signals_(io_, SIGINT, SIGTERM),
+      timers_(io_, clock_),
+      listed_(plan_.fronts),
+      began_(clock_.now()) {
   for (int front = 0; front < plan_.fronts; ++front) {
     fronts_.push_back(own(160, front)), stands_.push_back(own(192, front));
     names_.push_back(fmt::format("n{}", front));
     processes_.push_back(std::make_unique<Process>(program, folder, names_.back()));
   }
+  signals_.async_wait([this](const asio::error_code& fault, int) { interrupted_ = !fault; });
   relay_ = std::make_unique<Relay>(io_, timers_, clock_, fronts_, stands_, plan_.seed);
 }
 
@@ -141,6 +147,7 @@
   for (;;) {
     run(std::min(kLook, std::max(1.0, from + step.lasts - clock_.now())));
     const Millis took = spent_ = clock_.now() - from;
+    if (interrupted_) return {false, took, "interrupted"};
     for (int front = 0; front < plan_.fronts; ++front)
       if (process(front).crashed())
         return {false, took, fmt::format("{} has ended by itself", name_of(front))};
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -50,6 +50,8 @@
 
   const Plan plan_;
   asio::io_context io_;
+  asio::signal_set signals_;  // that end the run early, so that nothing of it is left behind
+  bool interrupted_ = false;
   const links::Clock clock_;
   links::Timers timers_;
   std::vector<asio::ip::udp::endpoint> fronts_, stands_;
