Read once more: one bound on a datagram's words, one text of an address, one charge of a tier

The bound of 23 words stood as a figure in membership.cpp beside its name in message.cpp; the rig wrote an address' text that links::text_of writes; the tier worked its charge out twice and asked twice whether there is a status file. Behaviour as before.

--- a/src/front/tier.cpp
+++ b/src/front/tier.cpp
@@ -20,10 +20,9 @@
       clock_(clock),
       log_(log),
       peers_(peers),
-      name_(placement.name),
       path_(fleet.status),
-      place_(charge_of(fleet, placement).place),
-      membership_(membership::make_membership(charge_of(fleet, placement), placement.seed)) {
+      charge_(charge_of(fleet, placement)),
+      membership_(membership::make_membership(charge_, placement.seed)) {
   peers_.hand_over([this](int peer, std::string bytes) {
     settle(membership::Heard{{peer}, std::move(bytes)});
   });
@@ -38,7 +37,7 @@
 void Tier::stop() {
   timers_.drop(wake_);
   timers_.drop(write_);
-  if (!path_.empty()) write_status();
+  write_status();
   timers_.drop(write_);
 }
 
@@ -95,8 +94,8 @@
                        {"standing", word_of(fellow.standing)},
                        {"incarnation", fellow.incarnation.number},
                        {"since", std::llround(fellow.since)}});
-  return nlohmann::json{{"name", name_},
-                        {"place", place_.number},
+  return nlohmann::json{{"name", charge_.name},
+                        {"place", charge_.place.number},
                         {"at", std::llround(clock_.now())},
                         {"version", view.version},
                         {"incarnation", view.incarnation.number},
--- a/src/front/tier.hpp
+++ b/src/front/tier.hpp
@@ -36,8 +36,8 @@
   const Clock& clock_;
   Log& log_;
   Peers& peers_;
-  const std::string name_, path_;
-  const membership::Place place_;
+  const std::string path_;
+  const membership::Charge charge_;
   std::unique_ptr<membership::Membership> membership_;
   std::optional<Timers::Handle> wake_, write_;
   Millis written_ = 0;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -556,7 +556,7 @@
     std::vector<News*> news;
     for (auto& [name, one] : news_) news.push_back(&one);
     std::ranges::stable_sort(news, {}, &News::sent);
-    if (news.size() > 23) news.resize(23);
+    if (news.size() > kMostWords) news.resize(kMostWords);
     for (const News* one : news) message.words.push_back(one->word);
     std::size_t told = 0;
     decisions_.push_back(Tell{to, bytes_of(message, told)});
--- a/src/membership/message.cpp
+++ b/src/membership/message.cpp
@@ -12,7 +12,6 @@
 constexpr char kLetter = 'M';
 constexpr int kForm = 1;
 constexpr std::uint64_t kMostPlaces = 1 << 16;
-constexpr std::size_t kMostWords = 23;  // up to which an array's head is one byte
 
 std::optional<std::uint64_t> whole(const Json& json, std::uint64_t most) {
   if (!json.is_number_unsigned() || json.get<std::uint64_t>() > most) return std::nullopt;
--- a/src/membership/message.hpp
+++ b/src/membership/message.hpp
@@ -63,6 +63,7 @@
 
 constexpr std::size_t kLongest = 256;  // bytes of a datagram
 constexpr std::size_t kLongestName = 32;
+constexpr std::size_t kMostWords = 23;  // in one datagram: up to there an array's head is one byte
 bool is_name(std::string_view text);
 
 // As many of the words, first ones first, as fit into a datagram; says how many that are.
--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -11,6 +11,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "links/placement.hpp"
+
 namespace reedspindle::rig {
 namespace {
 
@@ -29,7 +31,7 @@
 }
 
 std::string text_of(const asio::ip::udp::endpoint& endpoint) {
-  return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+  return links::text_of({endpoint.address(), endpoint.port()});
 }
 
 // What a status file says, as the end of a line.
