--- /dev/null
+++ b/src/rig/discovery.hpp
@@ -0,0 +1,54 @@
+// A stand-in for discovery on loopback: the whole list, and watches that wait for a change or for their time.
+// Who made it says what the list is; it says when an answer has been written.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "links/clock.hpp"
+
+namespace reedspindle::rig {
+
+class Discovery {
+ public:
+  struct Now {
+    long long revision = 0;
+    std::string list;  // whole, as JSON
+  };
+  using Ask = std::function<Now()>;
+  // How many bytes that connection has been sent, the answer included.
+  using Written =
+      std::function<void(const asio::ip::tcp::endpoint& to, std::size_t bytes, long long revision)>;
+
+  Discovery(asio::io_context& io, links::Timers& timers, const links::Clock& clock,
+            const asio::ip::tcp::endpoint& at, Ask ask, Written written = {});
+  ~Discovery();
+
+  asio::ip::tcp::endpoint at() const { return acceptor_.local_endpoint(); }
+  // Those who watch are told.
+  void changed();
+  // It takes what is asked and says nothing.
+  void be_silent(bool silent) { silent_ = silent; }
+
+ private:
+  struct Link;
+  using Linked = std::shared_ptr<Link>;
+  void accept();
+  void read(const Linked& link);
+  void take(const Linked& link, const std::string& line);
+  void answer(const Linked& link, const std::string& body, long long revision);
+
+  asio::io_context& io_;
+  links::Timers& timers_;
+  const links::Clock& clock_;
+  asio::ip::tcp::acceptor acceptor_;
+  const Ask ask_;
+  const Written written_;
+  std::list<std::weak_ptr<Link>> watching_;
+  bool silent_ = false;
+};
+
+}  // namespace reedspindle::rig
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 #include "rig/rig.hpp"
@@ -40,6 +41,7 @@
 int run(const rig::Plan& plan, const std::string& program, const std::string& keep, bool times) {
   const Folder folder(keep);
   rig::Rig rig(plan, program, folder.path());
+  const auto record = [&] { std::ofstream(folder.path() + "/run.json") << rig.record().dump() << '\n'; };
   for (const rig::Step& step : plan.steps) {
     std::cout << rig::text_of(step) << std::endl;
     const rig::Outcome outcome = rig.carry_out(step);
@@ -53,6 +55,13 @@
     }
     std::cout << fmt::format("  line {}: not {}: {}", step.line, text, outcome.why) << std::endl;
     for (const std::string& view : rig.views()) std::cout << "  " << view << '\n';
+    record();
+    return 1;
+  }
+  const rig::Outcome end = rig.finish();
+  record();
+  if (!end.held) {
+    std::cout << "  at the end: " << end.why << std::endl;
     return 1;
   }
   if (times)
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -33,6 +33,49 @@
   return all;
 }
 
+bool of_stores(const std::string& fault) {
+  static const std::set<std::string> faults{"fall",  "rise",    "hang",  "recover", "errors", "lag",
+                                            "stall", "promote", "drain", "unlist",  "enlist"};
+  return faults.contains(fault);
+}
+
+// What stands beside the fronts: stores, discovery, clients, and the terms of the rules.
+void stores_in(const nlohmann::json& values, Plan& plan) {
+  const nlohmann::json &stores = values["stores"], &clients = values["clients"], &terms = values["rules"];
+  plan.stores = stores["count"], plan.groups = stores["groups"], plan.lag = stores["lag"];
+  plan.work.work = stores["work"], plan.work.workers = stores["workers"], plan.work.queue = stores["queue"];
+  plan.work.cold_from = terms["cold-from"], plan.work.warm_within = terms["warm-within"];
+  plan.clients.rate = clients["rate"], plan.clients.sessions = clients["sessions"];
+  plan.clients.op_timeout = clients["op-timeout"], plan.clients.latency_target = clients["latency-target"];
+  plan.terms.slack = terms["slack"], plan.terms.drain_grace = terms["drain-grace"];
+  plan.terms.fall_multiple = terms["fall-multiple"], plan.terms.fall = terms["fall"];
+  plan.terms.cold_from = terms["cold-from"], plan.terms.warm_within = terms["warm-within"];
+  plan.terms.capacity = plan.work.workers * 1000 / plan.work.work;
+  using rules::Effect, rules::Needs;
+  for (const nlohmann::json& told : values.value("op-type", nlohmann::json::array())) {
+    ClientOp op;
+    op.name = told["name"], op.weight = told["weight"], op.bound = told["bound"];
+    const std::string needs = told["needs"], effect = told["effect"];
+    op.needs = needs == "write"     ? Needs::write
+               : needs == "session" ? Needs::session
+               : needs == "bounded" ? Needs::bounded
+                                    : Needs::any;
+    op.effect = effect == "tokened"         ? Effect::tokened
+                : effect == "non-retryable" ? Effect::non_retryable
+                                            : Effect::retryable;
+    plan.clients.mix.push_back(op);
+  }
+  if (plan.clients.mix.empty())
+    plan.clients.mix = {{"look", 5, Needs::bounded, Effect::retryable, 1500},
+                        {"own", 3, Needs::session, Effect::retryable, 0},
+                        {"browse", 1, Needs::any, Effect::retryable, 0},
+                        {"save", 2, Needs::write, Effect::tokened, 0},
+                        {"book", 0.5, Needs::write, Effect::non_retryable, 0}};
+  double all = 0;
+  for (const ClientOp& op : plan.clients.mix) all += op.weight;
+  for (ClientOp& op : plan.clients.mix) op.weight /= all;
+}
+
 }  // namespace
 
 Plan plan_in(const operators::File& file, const std::string& path) {
@@ -41,6 +84,7 @@
   const nlohmann::json& fleet = file.values["fleet"];
   plan.fleet.pace = fleet["pace"], plan.fleet.time_out = fleet["time-out"];
   plan.fleet.patience = fleet["patience"], plan.fleet.forget = fleet["forget"];
+  stores_in(file.values, plan);
   std::vector<std::string> faults;
   int told_so_far = 0;
   for (const nlohmann::json& told : file.values.value("step", nlohmann::json::array())) {
@@ -51,6 +95,10 @@
     step.fronts = told.contains("fronts") ? fronts_in(told["fronts"]) : all_of(plan.fronts);
     step.to = fronts_in(told.value("to", "")), step.of = fronts_in(told.value("of", ""));
     step.none_failed = fronts_in(told.value("none-failed", ""));
+    step.stores = fronts_in(told.value("stores", ""));
+    for (const char* with : {"discovery", "clients"})
+      if (told.value("with", "").find(with) != std::string::npos) step.with.insert(with);
+    step.rate = told["rate"], step.acked = told["acked"];
     step.clock = told["clock"], step.by = told["by"], step.jitter = told["jitter"],
     step.share = told["share"];
     step.count = told["count"], step.lasts = told["lasts"], step.within = told["within"];
@@ -59,9 +107,19 @@
     };
     for (const std::set<int>* named : {&step.fronts, &step.to, &step.of, &step.none_failed})
       if (!named->empty() && *named->rbegin() >= plan.fronts) fault("names a front that is not there");
-    const bool cuts = step.fault.starts_with("cut"),
-               sends = step.fault == "garbage" || step.fault == "replay";
-    if (step.to.empty() == (cuts || sends)) fault("'to' goes with cut, garbage and replay, and they need it");
+    if (!step.stores.empty() && *step.stores.rbegin() >= plan.stores)
+      fault("names a store that is not there");
+    if (plan.stores == 0 && !step.with.empty()) fault("'with' needs stores in the plan");
+    const bool sends = step.fault == "garbage" || step.fault == "replay";
+    const bool streams = step.fault == "reset" || step.fault == "limit";
+    const bool links = step.fault.starts_with("cut") || streams || step.fault == "slow";
+    if (step.to.empty() ? sends : !sends && !step.fault.starts_with("cut"))
+      fault("'to' goes with cut, garbage and replay; the last two need it");
+    if (links && step.fault != "slow" && step.to.empty() && step.stores.empty() && step.with.empty())
+      fault("the other side is missing: 'to', 'stores' or 'with'");
+    if (!step.with.empty() && !links) fault("'with' goes with cut, slow, limit and reset");
+    if (step.stores.empty() ? of_stores(step.fault) : !of_stores(step.fault) && !links)
+      fault("'stores' goes with what strikes stores, who need it, and with cut, slow, limit and reset");
     if (step.of.empty() != (step.until == "now" || step.until == "agreed"))
       fault("'of' goes with until there, failed, left or yielded, and they need it");
     if (!step.name.empty() && (step.fault != "start" || step.fronts.size() != 1))
@@ -108,8 +166,12 @@
 
 std::string text_of(const Step& step) {
   std::string text = step.fault == "none" ? "nothing" : step.fault;
-  if (step.fault != "heal" && step.fault != "none") text += fmt::format(" {}", fmt::join(step.fronts, ","));
+  if (step.fault != "heal" && step.fault != "none" && !of_stores(step.fault) &&
+      !step.fault.starts_with("discovery"))
+    text += fmt::format(" {}", fmt::join(step.fronts, ","));
   if (!step.to.empty()) text += fmt::format(" and {}", fmt::join(step.to, ","));
+  if (!step.stores.empty()) text += fmt::format(" stores {}", fmt::join(step.stores, ","));
+  if (!step.with.empty()) text += fmt::format(" with {}", fmt::join(step.with, ","));
   if (!step.name.empty()) text += fmt::format(" as {}", step.name);
   if (step.clock != 0) text += fmt::format(", clock {:+}ms", step.clock);
   if (step.by > 0 || step.jitter > 0) text += fmt::format(" by {}ms, jitter {}ms", step.by, step.jitter);
--- a/src/rig/plan.hpp
+++ b/src/rig/plan.hpp
@@ -9,6 +9,9 @@
 
 #include "membership/membership.hpp"
 #include "operators/file.hpp"
+#include "rig/clients.hpp"
+#include "rig/stores.hpp"
+#include "rules/rules.hpp"
 
 namespace reedspindle::rig {
 
@@ -16,18 +19,24 @@
 
 struct Step {
   std::string fault, name, until;
-  std::set<int> fronts, to, of, none_failed;
+  std::set<int> fronts, to, of, none_failed, stores;
+  std::set<std::string> with;  // discovery, clients: what else the links of the fronts go to
   Millis clock = 0, by = 0, jitter = 0, lasts = 0, within = 0;
-  double share = 0;
+  double share = 0, rate = 0;
+  double acked = 0;  // share of the step's ops that has to be acked in time
   int count = 0;
   int line = 0;  // of the plan
 };
 
 struct Plan {
-  int fronts = 0;
+  int fronts = 0, stores = 0, groups = 1;
   std::uint64_t seed = 0;
   Millis longest = 0;
   membership::Charge fleet;
+  Millis lag = 0;  // that replicas stand behind, unless a step changes it
+  StoreWork work;
+  ClientWork clients;
+  rules::Terms terms;
   std::vector<Step> steps;
 };
 
--- a/src/rig/process.cpp
+++ b/src/rig/process.cpp
@@ -35,7 +35,7 @@
   if (getppid() != rig) _exit(127);  // the rig has ended in between
   const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   dup2(log, STDERR_FILENO);
-  for (int fd = 3; fd < 4096; ++fd) close(fd);  // the rig's sockets are not its
+  close_range(3, ~0U, 0);  // the rig's sockets are not its
   for (const char* variable : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) unsetenv(variable);
   setenv("ROUTER_CONFIG", placement_path.c_str(), 1);
   execl(program_.c_str(), program_.c_str(), "run", orders_path.c_str(), nullptr);
--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -61,9 +61,24 @@
   }
   signals_.async_wait([this](const asio::error_code& fault, int) { interrupted_ = !fault; });
   relay_ = std::make_unique<Relay>(io_, timers_, clock_, fronts_, stands_, plan_.seed);
+  if (plan_.stores == 0) return;
+  std::vector<Endpoint> listen;
+  for (const auto& front : fronts_) listen.emplace_back(front.address(), front.port());
+  surroundings_ =
+      std::make_unique<Surroundings>(io_, timers_, clock_, plan_, listen, [](int role, int number) {
+        const auto at = own(role, number);
+        return Endpoint(at.address(), at.port());
+      });
+}
+
+// What the checker of the rules knows of a front's former life is over.
+void Rig::begin_anew(int front) {
+  if (surroundings_) surroundings_->note(rules::Down{{front}});
 }
 
 void Rig::start(int front, const Step& step) {
+  if (process(front).up()) return;
+  begin_anew(front);
   if (!step.name.empty()) names_[static_cast<std::size_t>(front)] = step.name;
   const membership::Charge& fleet = plan_.fleet;
   process(front).start(
@@ -80,8 +95,7 @@
   for (int place = 0; place < listed_; ++place)
     peers.push_back(text_of(stands_[static_cast<std::size_t>(place)]));
   const auto at = static_cast<std::size_t>(front);
-  // Nobody answers for discovery yet: fronts run without stores.
-  const Json placement = {
+  Json placement = {
       {"name", name_of(front)},
       {"listen", text_of(fronts_[at])},
       {"discovery", fmt::format("{}:1", stands_[0].address().to_string())},
@@ -90,6 +104,7 @@
       {"peers", peers},
       {"peers_all", text_of(stands_[at])},
       {"settings", {{"requestClasses", Json::array({{{"name", "look"}, {"effect", "repeatable"}}})}}}};
+  if (surroundings_) placement.update(surroundings_->placement_of(front));
   return placement.dump();
 }
 
@@ -105,23 +120,37 @@
     });
   };
   if (step.fault == "start") each([&](int front) { start(front, step); });
-  if (step.fault == "kill") each([&](int front) { process(front).signal(SIGKILL); });
+  if (step.fault == "kill")
+    each([&](int front) {
+      process(front).signal(SIGKILL);
+      begin_anew(front);
+    });
   if (step.fault == "end") each([&](int front) { process(front).signal(SIGTERM); });
-  if (step.fault == "stop") each([&](int front) { process(front).signal(SIGSTOP); });
-  if (step.fault == "wake") each([&](int front) { process(front).signal(SIGCONT); });
+  if (step.fault == "stop")
+    each([&](int front) {
+      if (surroundings_) surroundings_->note(rules::Paused{{front}, clock_.now()});
+      process(front).signal(SIGSTOP);
+    });
+  if (step.fault == "wake")
+    each([&](int front) {
+      process(front).signal(SIGCONT);
+      if (surroundings_) surroundings_->note(rules::Woken{{front}, clock_.now()});
+    });
   if (step.fault.starts_with("cut"))
     each([&](int front) {
       for (const int other : step.to) {
-        relay_->link(front, other).cut = true;
-        if (step.fault == "cut") relay_->link(other, front).cut = true;
+        if (step.fault != "cut-back") relay_->link(front, other).cut = true;
+        if (step.fault != "cut-one-way") relay_->link(other, front).cut = true;
       }
     });
   if (step.fault == "heal") relay_->heal();
+  if (surroundings_) step.fault == "heal" ? surroundings_->heal() : surroundings_->strike(step);
   if (step.fault == "list") {
     listed_ = std::min(step.count, plan_.fronts);
     each([&](int front) { process(front).reload(placement_of(front)); });
   }
-  if (step.fault == "slow") links([&](Link& link) { link.by = step.by, link.jitter = step.jitter; });
+  if (step.fault == "slow" && step.stores.empty() && step.with.empty())
+    links([&](Link& link) { link.by = step.by, link.jitter = step.jitter; });
   if (step.fault == "loss") links([&](Link& link) { link.loss = step.share; });
   if (step.fault == "doubled") links([&](Link& link) { link.doubled = step.share; });
   if (step.fault == "garbage" || step.fault == "replay")
@@ -146,6 +175,9 @@
   for (int front = 0; front < plan_.fronts; ++front) process(front).log_lines();
   const Millis from = clock_.now();
   strike(step);
+  happened_.push_back({from, text_of(step)});
+  // A share of ops can be told once all of them are over.
+  const Millis over = step.acked > 0 ? plan_.clients.op_timeout + 600 : 0;
   for (;;) {
     run(std::min(kLook, std::max(1.0, from + step.lasts - clock_.now())));
     const Millis took = spent_ = clock_.now() - from;
@@ -154,14 +186,89 @@
       if (process(front).crashed())
         return {false, took, fmt::format("{} has ended by itself", name_of(front))};
     if (std::string why = mistaken(step); !why.empty()) return {false, took, std::move(why)};
+    if (std::string why = broken(); !why.empty()) return {false, took, std::move(why)};
     if (clock_.now() - began_ > plan_.longest) return {false, took, "the whole run has taken too long"};
-    if (took < step.lasts) continue;
+    if (took < step.lasts + over) continue;
     std::string why = missing(step);
+    if (why.empty()) why = too_few(step, from);
+    // Clients ask from the end of the first step on.
+    if (why.empty() && surroundings_) surroundings_->begin();
     if (why.empty()) return {true, took, ""};
     if (took > step.lasts + step.within) return {false, took, std::move(why)};
   }
 }
 
+Outcome Rig::finish() {
+  if (!surroundings_ || !surroundings_->asking()) return {true, 0, ""};
+  surroundings_->rest();
+  const Millis from = clock_.now();
+  for (;;) {
+    run(kLook);
+    const Millis took = clock_.now() - from;
+    if (std::string why = broken(); !why.empty()) return {false, took, std::move(why)};
+    if (surroundings_->open_ops() == 0) return {true, took, ""};
+    // Clients give up by themselves.
+    if (took > plan_.clients.op_timeout + 5000) return {false, took, "ops are open that should have ended"};
+  }
+}
+
+// Rules that have been broken since the last look.
+std::string Rig::broken() {
+  if (!surroundings_) return "";
+  const std::vector<rules::Broken> found = surroundings_->settle();
+  broken_.insert(broken_.end(), found.begin(), found.end());
+  std::string text;
+  for (const rules::Broken& one : found) {
+    if (!text.empty()) text += "; ";
+    text += fmt::format("{}: {}", rules::word_of(one.rule), one.why);
+    if (!one.op.empty()) text += fmt::format(", op {}", one.op);
+    if (one.front.number >= 0) text += fmt::format(", front {}", name_of(one.front.number));
+    if (one.store.number >= 0) text += fmt::format(", store s{}", one.store.number);
+    text += fmt::format(", {:.0f} ms into the run", one.at - began_);
+    if (text.size() > 1000) break;
+  }
+  return text;
+}
+
+std::string Rig::too_few(const Step& step, Millis from) const {
+  if (step.acked <= 0) return "";
+  if (!surroundings_ || !surroundings_->asking()) return "no client asks yet";
+  const Tally tally = surroundings_->between(from, from + step.lasts);
+  if (tally.share(Came::in_time) >= step.acked) return "";
+  std::string text =
+      fmt::format("only {:.3f} of {} ops were acked in time", tally.share(Came::in_time), tally.ops());
+  for (const auto& [came, count] : tally.came) text += fmt::format("; {} {}", word_of(came), count);
+  return text;
+}
+
+nlohmann::json Rig::record() const {
+  Json record{{"fronts", plan_.fronts},
+              {"stores", plan_.stores},
+              {"seed", plan_.seed},
+              {"ms", clock_.now() - began_}};
+  record["steps"] = Json::array(), record["broken"] = Json::array(), record["spans"] = Json::array();
+  for (const Happened& one : happened_)
+    record["steps"].push_back({{"at", one.at - began_}, {"text", one.text}});
+  for (const rules::Broken& one : broken_)
+    record["broken"].push_back({{"rule", rules::word_of(one.rule)},
+                                {"op", one.op},
+                                {"front", one.front.number},
+                                {"store", one.store.number},
+                                {"at", one.at - began_},
+                                {"why", one.why}});
+  if (!surroundings_) return record;
+  for (const Tally& tally : surroundings_->tallies()) {
+    Json span{{"at", tally.at - began_}};
+    for (const auto& [came, count] : tally.came) span[word_of(came)] = count;
+    std::vector<Millis> sorted = tally.latencies;
+    std::ranges::sort(sorted);
+    if (!sorted.empty())
+      span["p50"] = sorted[sorted.size() / 2], span["p99"] = sorted[sorted.size() * 99 / 100];
+    record["spans"].push_back(std::move(span));
+  }
+  return record;
+}
+
 // How the others hold whom the step names, or one another.
 std::string Rig::missing(const Step& step) const {
   if (step.until == "now") return "";
@@ -253,7 +360,14 @@
     bytes += static_cast<double>(now.bytes - then.bytes);
   }
   const double seconds = std::max(1.0, spent_) / 1000 * plan_.fronts;
-  return fmt::format("{:.1f} datagrams/s {:.0f} B/s", datagrams / seconds, bytes / seconds);
+  std::string text = fmt::format("{:.1f} datagrams/s {:.0f} B/s", datagrams / seconds, bytes / seconds);
+  if (surroundings_ && surroundings_->asking()) {
+    const Millis now = clock_.now();
+    const Tally tally = surroundings_->between(now - spent_, now);
+    text += fmt::format(", {} ops", tally.ops());
+    for (const auto& [came, count] : tally.came) text += fmt::format(" {} {}", word_of(came), count);
+  }
+  return text;
 }
 
 }  // namespace reedspindle::rig
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -12,6 +12,7 @@
 #include "rig/plan.hpp"
 #include "rig/process.hpp"
 #include "rig/relay.hpp"
+#include "rig/surroundings.hpp"
 
 namespace reedspindle::rig {
 
@@ -27,6 +28,10 @@
   Rig(Plan plan, std::string program, std::string folder);
 
   Outcome carry_out(const Step& step);
+  // Clients ask nothing more, what is open comes to its end.
+  Outcome finish();
+  // All that a report needs, as JSON.
+  nlohmann::json record() const;
   const Plan& plan() const { return plan_; }
   // Each process' view side by side, a line a process.
   std::vector<std::string> views() const;
@@ -44,6 +49,9 @@
   std::string missing(const Step& step) const;
   std::string hold(int front, const std::set<int>& of, const std::string& standing, bool alone) const;
   std::string mistaken(const Step& step);
+  std::string broken();
+  std::string too_few(const Step& step, Millis from) const;
+  void begin_anew(int front);
   std::string name_of(int front) const { return names_.at(static_cast<std::size_t>(front)); }
   Process& process(int front) { return *processes_.at(static_cast<std::size_t>(front)); }
   const Process& process(int front) const { return *processes_.at(static_cast<std::size_t>(front)); }
@@ -56,6 +64,13 @@
   links::Timers timers_;
   std::vector<asio::ip::udp::endpoint> fronts_, stands_;
   std::unique_ptr<Relay> relay_;
+  std::unique_ptr<Surroundings> surroundings_;  // none: fronts alone
+  struct Happened {
+    Millis at = 0;
+    std::string text;
+  };
+  std::vector<Happened> happened_;
+  std::vector<rules::Broken> broken_;
   std::vector<std::string> names_;
   int listed_;  // places that the lists have
   std::vector<std::unique_ptr<Process>> processes_;
--- /dev/null
+++ b/src/rig/surroundings.cpp
@@ -0,0 +1,274 @@
+#include "rig/surroundings.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "links/placement.hpp"
+
+namespace reedspindle::rig {
+namespace {
+
+using Json = nlohmann::json;
+
+// Roles in the rig's own addresses.
+constexpr int kGates = 96, kStandIns = 128;
+constexpr std::size_t kUnderway = 1000;  // connections of discovery's whose answers are waited for
+
+std::vector<Endpoint> places_of(int count, const Surroundings::Own& own) {
+  std::vector<Endpoint> places;
+  for (int store = 0; store < count; ++store) places.push_back(own(kStandIns, store));
+  return places;
+}
+
+double ns(Millis span) { return span * 1e6; }
+
+// The settings object, in the words of the platform.
+Json settings_of(const Plan& plan, int front) {
+  Json types = Json::array(), needs = Json::array(), bounds = Json::array();
+  for (const ClientOp& op : plan.clients.mix) {
+    using rules::Effect, rules::Needs;
+    types.push_back({{"name", op.name},
+                     {"effect", op.effect == Effect::tokened     ? "by_key"
+                                : op.effect == Effect::retryable ? "repeatable"
+                                                                 : "once"},
+                     {"goalTime", ns(plan.clients.latency_target)},
+                     {"deadline", ns(plan.clients.op_timeout)},
+                     {"keyScope", "cell"},
+                     {"dedupWindow", ns(plan.work.token_memory)},
+                     {"importance", 1}});
+    needs.push_back(op.needs == Needs::write     ? "update"
+                    : op.needs == Needs::session ? "own_writes"
+                    : op.needs == Needs::bounded ? "recent"
+                                                 : "loose");
+    bounds.push_back(ns(op.bound));
+  }
+  return {{"nInstances", plan.fronts},
+          {"rank", front},
+          {"quantum", ns(5)},
+          {"discovery", "push"},
+          {"requestClasses", types},
+          {"familyInfo",
+           {{"needsByClass", needs},
+            {"oldestData", bounds},
+            {"behind", "silent"},
+            {"positions", true},
+            {"roleListed", "silent"},
+            {"tokens", "client"}}},
+          {"report", {{"how", "pull"}}},
+          {"ceilings",
+           {{"cancel", true},
+            {"connIdle", ns(30000)},
+            {"connectTimeout", ns(250)},
+            {"maxAttempts", 6},
+            {"maxOpen", 20000},
+            {"maxRetryAfter", ns(1000)},
+            {"mayTell", plan.fronts > 1},
+            {"probes", true},
+            {"retryAfter", true}}},
+          {"rules",
+           {{"stopSendingWithin", ns(plan.terms.drain_grace)},
+            {"graceToAnswer", ns(20)},
+            {"coldFrom", plan.terms.cold_from},
+            {"warmWithin", ns(plan.terms.warm_within)},
+            {"fallMultiple", plan.terms.fall_multiple},
+            {"fall", ns(plan.terms.fall)}}}};
+}
+
+}  // namespace
+
+Surroundings::Surroundings(asio::io_context& io, links::Timers& timers, const links::Clock& clock,
+                           const Plan& plan, const std::vector<Endpoint>& fronts, const Own& own)
+    : plan_(plan),
+      clock_(clock),
+      rules_(plan.terms),
+      streams_(io, timers, clock, plan.seed),
+      stores_(io, timers, clock, places_of(plan.stores, own), plan.work, plan.seed),
+      met_at_([&] {
+        std::vector<Endpoint> met;
+        for (int front = 0; front < plan.fronts; ++front)
+          met.push_back(own(kGates, front * each() + plan.stores + 1));
+        return met;
+      }()),
+      clients_(io, timers, clock, streams_, rules_, met_at_, plan.groups, plan.clients, plan.seed) {
+  for (int store = 0; store < plan.stores; ++store) {
+    StoreState& state = stores_.state(store);
+    state.group = store % plan.groups, state.primary = store < plan.groups, state.lag = plan.lag;
+  }
+  for (int front = 0; front < plan.fronts; ++front) {
+    agents_.push_back(std::make_unique<Discovery>(
+        io, timers, clock, own(kStandIns, plan.stores + front), [this, front] { return list_of(front); },
+        [this, front](const Endpoint& to, std::size_t bytes, long long) {
+          // What never arrived, for its connection broke, is forgotten with the oldest.
+          if (underway_.size() > kUnderway) underway_.erase(underway_.begin());
+          underway_[to].push_back({bytes, front, listed()});
+        }));
+    std::vector<int>& gates = gates_.emplace_back();
+    std::vector<Endpoint>& seen = seen_at_.emplace_back();
+    for (int store = 0; store < plan.stores; ++store) {
+      seen.push_back(own(kGates, front * each() + store));
+      gates.push_back(streams_.open(seen.back(), stores_.at(store)));
+    }
+    seen.push_back(own(kGates, front * each() + plan.stores));
+    gates.push_back(streams_.open(seen.back(), agents_.back()->at()));
+    gates.push_back(
+        streams_.open(met_at_[static_cast<std::size_t>(front)], fronts[static_cast<std::size_t>(front)]));
+  }
+  stores_.on([this](const Carried_out& done) { carried_out(done); },
+             [this](int store, const std::string& op, const Endpoint& from) {
+               if (const auto crossing = streams_.crossing(from))
+                 rules_.note(rules::Sent{op, {crossing->gate / each()}, {store}, crossing->to.read});
+             });
+  streams_.on([this](const Streams::Passed& passed) {
+    clients_.passed(passed);
+    const auto answers = passed.back ? underway_.find(passed.target) : underway_.end();
+    if (answers == underway_.end()) return;
+    while (!answers->second.empty() && answers->second.front().bytes <= passed.given) {
+      told(answers->second.front().front, answers->second.front().listed, passed.at);
+      answers->second.pop_front();
+    }
+    if (answers->second.empty()) underway_.erase(answers);
+  });
+  first_ = Json::array();
+  for (int front = 0; front < plan.fronts; ++front) first_.push_back(Json::parse(list_of(front).list));
+}
+
+nlohmann::json Surroundings::placement_of(int front) const {
+  const auto at = static_cast<std::size_t>(front);
+  return {{"discovery", links::text_of(seen_at_[at].back())},
+          {"known", first_[at]},
+          {"settings", settings_of(plan_, front)}};
+}
+
+std::vector<Surroundings::Listed> Surroundings::listed() const {
+  std::vector<Listed> all;
+  for (int store = 0; store < plan_.stores; ++store) {
+    const StoreState& state = stores_.state(store);
+    all.push_back({store, state.listed && !state.draining && !state.left, state.booted});
+  }
+  return all;
+}
+
+void Surroundings::told(int front, const std::vector<Listed>& listed, Millis at) {
+  for (const Listed& one : listed) rules_.note(rules::Told{{front}, {one.store}, one.wanted, one.booted, at});
+}
+
+Discovery::Now Surroundings::list_of(int front) const {
+  Json targets = Json::array();
+  for (int store = 0; store < plan_.stores; ++store) {
+    const StoreState& state = stores_.state(store);
+    if (!state.listed) continue;
+    targets.push_back(
+        {{"uid", fmt::format("s{}", store)},
+         {"endpoint",
+          links::text_of(seen_at_[static_cast<std::size_t>(front)][static_cast<std::size_t>(store)])},
+         {"pod_group", state.group},
+         {"state", state.draining ? "leaving" : "active"},
+         {"boot_ms", state.booted}});
+  }
+  return {revision_, Json{{"rev", revision_}, {"all", true}, {"targets", targets}}.dump()};
+}
+
+void Surroundings::carried_out(const Carried_out& done) {
+  const bool effect = done.writes && done.deed == Deed::ran;
+  if (effect) clients_.committed(done.op, done.position);
+  if (done.deed != Deed::ran) return;
+  const auto crossing = streams_.crossing(done.from);
+  rules_.note(rules::Ran{
+      done.op, {done.store}, done.token, effect, crossing ? crossing->to.read : done.came, done.position});
+}
+
+std::vector<int> Surroundings::gates(const Step& step) const {
+  std::vector<int> all;
+  for (const int front : step.fronts) {
+    for (const int store : step.stores) all.push_back(gate(front, store));
+    if (step.with.contains("discovery")) all.push_back(gate(front, plan_.stores));
+    if (step.with.contains("clients")) all.push_back(gate(front, plan_.stores + 1));
+  }
+  return all;
+}
+
+// Of each link between the fronts and the others: first what the fronts say, then what they hear. Clients
+// open their links themselves, so there it is the other way round.
+template <typename Change>
+void Surroundings::ways(const Step& step, Change change) {
+  for (const int gate : gates(step)) {
+    const bool of_clients = gate % each() == plan_.stores + 1;
+    change(of_clients ? streams_.back(gate) : streams_.to(gate),
+           of_clients ? streams_.to(gate) : streams_.back(gate));
+  }
+}
+
+void Surroundings::strike(const Step& step) {
+  if (step.fault.starts_with("cut"))
+    ways(step, [&](Way& out, Way& in) {
+      if (step.fault != "cut-back") out.cut = true;
+      if (step.fault != "cut-one-way") in.cut = true;
+    });
+  if (step.fault == "slow")
+    ways(step, [&](Way& out, Way& in) { out.by = in.by = step.by, out.jitter = in.jitter = step.jitter; });
+  if (step.fault == "limit") ways(step, [&](Way& out, Way& in) { out.rate = in.rate = step.rate; });
+  if (step.fault == "reset")
+    for (const int gate : gates(step)) streams_.reset(gate);
+  if (step.fault.starts_with("discovery-"))
+    for (const int front : step.fronts) {
+      agents_[static_cast<std::size_t>(front)]->be_silent(step.fault == "discovery-silent");
+      if (step.fault == "discovery-speaks") agents_[static_cast<std::size_t>(front)]->changed();
+    }
+  if (step.fault.starts_with("cut") || step.fault == "slow" || step.fault == "limit" || step.fault == "reset")
+    return;
+
+  bool listed = false;
+  for (const int store : step.stores) {
+    StoreState& state = stores_.state(store);
+    state.reached = stores_.position(store);
+    if (step.fault == "fall") stores_.fall(store);
+    if (step.fault == "rise") {
+      stores_.rise(store);
+      rules_.note(rules::Started{{store}, state.booted});
+      listed = true;
+    }
+    if (step.fault == "hang") state.answers = false;
+    if (step.fault == "recover")
+      state.answers = true, state.errors = 0, state.lag = plan_.lag, state.stalled_at = -1;
+    if (step.fault == "errors") state.errors = step.share;
+    if (step.fault == "lag") state.lag = step.by;
+    if (step.fault == "stall") state.stalled_at = stores_.position(store);
+    if (step.fault == "promote") {
+      for (int other = 0; other < plan_.stores; ++other) {
+        if (stores_.state(other).group != state.group) continue;
+        stores_.state(other).reached = stores_.position(other);
+        stores_.state(other).primary = other == store;
+      }
+    }
+    if (step.fault == "drain") state.draining = listed = true;
+    if (step.fault == "unlist") state.listed = false, listed = true;
+    if (step.fault == "enlist") state.listed = listed = true, state.draining = false;
+  }
+  if (!listed) return;
+  ++revision_;
+  for (const auto& agent : agents_) agent->changed();
+}
+
+void Surroundings::heal() { streams_.heal(); }
+
+void Surroundings::begin() {
+  if (plan_.clients.rate <= 0 || std::exchange(begun_, true)) return;
+  clients_.begin();
+}
+
+std::vector<rules::Broken> Surroundings::settle() { return rules_.settle(clock_.now()); }
+
+Tally Surroundings::between(Millis from, Millis to) const {
+  Tally sum;
+  sum.at = from;
+  for (const Tally& tally : clients_.tallies()) {
+    if (tally.at < from || tally.at + kTallied > to) continue;
+    for (const auto& [came, count] : tally.came) sum.came[came] += count;
+    sum.latencies.insert(sum.latencies.end(), tally.latencies.begin(), tally.latencies.end());
+  }
+  return sum;
+}
+
+}  // namespace reedspindle::rig
--- /dev/null
+++ b/src/rig/surroundings.hpp
@@ -0,0 +1,85 @@
+// What stands round the fronts of the rig: stores, discovery (an agent a front), clients, the links to all of
+// them, and the checker of the rules that sees what crosses those links.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "rig/clients.hpp"
+#include "rig/discovery.hpp"
+#include "rig/plan.hpp"
+#include "rig/stores.hpp"
+#include "rig/streams.hpp"
+#include "rules/rules.hpp"
+
+namespace reedspindle::rig {
+
+class Surroundings {
+ public:
+  // An address of the rig's own for a role and a number in it.
+  using Own = std::function<Endpoint(int role, int number)>;
+
+  // Fronts by where they listen for clients.
+  Surroundings(asio::io_context& io, links::Timers& timers, const links::Clock& clock, const Plan& plan,
+               const std::vector<Endpoint>& fronts, const Own& own);
+
+  // What a front's placement says of them: discovery, known, settings.
+  nlohmann::json placement_of(int front) const;
+  void strike(const Step& step);
+  void heal();
+  void note(rules::Event event) { rules_.note(std::move(event)); }
+  // Clients begin, once.
+  void begin();
+  void rest() { clients_.rest(); }
+  bool asking() const { return begun_; }
+  std::vector<rules::Broken> settle();
+  const std::deque<Tally>& tallies() const { return clients_.tallies(); }
+  // Ops that were meant for a span of time and are over.
+  Tally between(Millis from, Millis to) const;
+  std::size_t open_ops() const { return clients_.open(); }
+
+ private:
+  struct Listed {
+    int store = 0;
+    bool wanted = true;
+    Millis booted = 0;
+  };
+  Discovery::Now list_of(int front) const;
+  std::vector<Listed> listed() const;
+  void told(int front, const std::vector<Listed>& listed, Millis at);
+  void carried_out(const Carried_out& done);
+  template <typename Change>
+  void ways(const Step& step, Change change);
+  std::vector<int> gates(const Step& step) const;
+  int each() const { return plan_.stores + 2; }  // gates of a front
+  int gate(int front, int other) const {
+    return gates_[static_cast<std::size_t>(front)][static_cast<std::size_t>(other)];
+  }
+
+  const Plan& plan_;
+  const links::Clock& clock_;
+  rules::Rules rules_;
+  Streams streams_;
+  Stores stores_;
+  std::vector<std::unique_ptr<Discovery>> agents_;
+  std::vector<std::vector<int>> gates_;         // of each front: to stores, to discovery, from clients
+  std::vector<std::vector<Endpoint>> seen_at_;  // of each front: where it meets stores and discovery
+  std::vector<Endpoint> met_at_;                // where clients meet each front
+  Clients clients_;
+  long long revision_ = 1;
+  nlohmann::json first_;  // the list as the run began, a front's saved one
+  struct Underway {       // an answer of discovery, until it has reached its front
+    std::size_t bytes = 0;
+    int front = 0;
+    std::vector<Listed> listed;
+  };
+  std::map<Endpoint, std::deque<Underway>> underway_;
+  bool begun_ = false;
+};
+
+}  // namespace reedspindle::rig
