--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -126,7 +126,7 @@
       fault("'name' goes with the start of one front");
     if (step.fault == "drawn") {
       const std::vector<Step> more =
-          drawn(plan.fronts, step.count, step, plan.seed + static_cast<std::uint64_t>(step.line));
+          drawn(plan, step.count, step, plan.seed + static_cast<std::uint64_t>(step.line));
       plan.steps.insert(plan.steps.end(), more.begin(), more.end());
     } else {
       plan.steps.push_back(std::move(step));
@@ -136,29 +136,42 @@
   return plan;
 }
 
-std::vector<Step> drawn(int fronts, int count, const Step& like, std::uint64_t seed) {
+std::vector<Step> drawn(const Plan& plan, int count, const Step& like, std::uint64_t seed) {
   std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1));
   const auto below = [&random](int most) { return static_cast<int>(random() % static_cast<unsigned>(most)); };
+  const int fronts = plan.fronts;
   Step plain;
   plain.fault = "none", plain.until = "now", plain.line = like.line, plain.within = like.within;
+  std::vector<const char*> kinds{"kill",        "start", "stop", "wake", "cut",
+                                 "cut-one-way", "heal",  "slow", "loss"};
+  if (plan.stores > 0)
+    kinds.insert(kinds.end(),
+                 {"cut-back", "reset", "end", "fall", "rise", "hang", "recover", "errors", "lag", "stall",
+                  "promote", "drain", "enlist", "discovery-silent", "discovery-speaks"});
   std::vector<Step> steps;
   for (int turn = 0; turn < count; ++turn) {
-    constexpr const char* kinds[] = {"kill",        "start", "stop", "wake", "cut",
-                                     "cut-one-way", "heal",  "slow", "loss"};
     Step step = plain;
-    step.fault = kinds[below(std::size(kinds))];
+    step.fault = kinds[static_cast<std::size_t>(below(static_cast<int>(kinds.size())))];
     step.fronts = {below(fronts)};
     // A side of a cut is one front or a few; who is on both sides loses nothing by it.
+    const bool links = step.fault.starts_with("cut") || step.fault == "reset";
     if (step.fault.starts_with("cut"))
       for (int sides = 1 + below(fronts); sides > 0; --sides) step.to.insert(below(fronts));
+    if (of_stores(step.fault) || (links && plan.stores > 0))
+      for (int sides = 1 + below(2); sides > 0; --sides) step.stores.insert(below(plan.stores));
+    if (links && plan.stores > 0 && below(3) == 0) step.with.insert(below(2) == 0 ? "discovery" : "clients");
     if (step.fault == "slow") step.by = below(300), step.jitter = below(100);
-    if (step.fault == "loss") step.share = below(40) / 100.0;
+    if (step.fault == "lag") step.by = below(5000);
+    if (step.fault == "loss" || step.fault == "errors") step.share = below(40) / 100.0;
     step.lasts = 50 + below(1500);
     steps.push_back(std::move(step));
   }
-  for (const char* mended : {"heal", "wake", "start"}) {
+  std::vector<const char*> mends{"heal", "wake", "start"};
+  if (plan.stores > 0) mends = {"heal", "rise", "recover", "enlist", "discovery-speaks", "wake", "start"};
+  for (const char* mended : mends) {
     steps.push_back(plain);
     steps.back().fault = mended, steps.back().fronts = all_of(fronts);
+    if (of_stores(mended)) steps.back().stores = all_of(plan.stores);
   }
   steps.back().until = "agreed";
   return steps;
--- a/src/rig/plan.hpp
+++ b/src/rig/plan.hpp
@@ -44,7 +44,7 @@
 Plan plan_in(const operators::File& file, const std::string& path);
 // Faults drawn by chance, each for a while, then all of them mended and all agreeing again. The same seed,
 // the same faults.
-std::vector<Step> drawn(int fronts, int count, const Step& like, std::uint64_t seed);
+std::vector<Step> drawn(const Plan& plan, int count, const Step& like, std::uint64_t seed);
 // What a step does, as one line.
 std::string text_of(const Step& step);
 
--- a/src/rig/stores.hpp
+++ b/src/rig/stores.hpp
@@ -22,14 +22,14 @@
 struct StoreState {
   int group = 0;
   bool primary = false;
-  bool listed = true, draining = false, left = false;  // as discovery has it
-  Millis booted = 0;                                   // 0: long ago
-  bool up = true;                                      // nobody listens otherwise
-  bool answers = true;                                 // hangs otherwise
-  double errors = 0;                                   // share of ops that end in an error
-  Millis lag = 5;                                      // that a replica stands behind
-  Millis stalled_at = -1;                              // a position it stands still at; below 0: it does not
-  Millis reached = -1;  // a position that it has had, from which it does not go back
+  bool listed = true, draining = false;  // as discovery has it
+  Millis booted = 0;                     // 0: long ago
+  bool up = true;                        // nobody listens otherwise
+  bool answers = true;                   // hangs otherwise
+  double errors = 0;                     // share of ops that end in an error
+  Millis lag = 5;                        // that a replica stands behind
+  Millis stalled_at = -1;                // a position it stands still at; below 0: it does not
+  Millis reached = -1;                   // a position that it has had, from which it does not go back
 };
 
 struct StoreWork {
--- a/src/rig/surroundings.cpp
+++ b/src/rig/surroundings.cpp
@@ -145,7 +145,7 @@
   std::vector<Listed> all;
   for (int store = 0; store < plan_.stores; ++store) {
     const StoreState& state = stores_.state(store);
-    all.push_back({store, state.listed && !state.draining && !state.left, state.booted});
+    all.push_back({store, state.listed && !state.draining, state.booted});
   }
   return all;
 }
--- /dev/null
+++ b/tests/rig/traffic.sexp
@@ -0,0 +1,10 @@
+; Ops through real fronts while links, stores and fronts fail.
+(rig (fronts 4) (fleet (pace 200ms) (time-out 80ms)) (stores (count 6) (groups 2)) (clients (rate 200))
+  (step (fault start) (until agreed))
+  (step (fault none) (lasts 3s) (acked 0.98))
+  (step (fault cut) (fronts "0") (stores "3") (lasts 3s) (acked 0.9))
+  (step (fault heal) (lasts 2s) (acked 0.95))
+  (step (fault kill) (fronts "1") (lasts 2s) (acked 0.8))
+  (step (fault start) (fronts "1") (until agreed))
+  (step (fault drain) (stores "4") (lasts 2s) (acked 0.95))
+  (step (fault lag) (stores "2") (by 4s) (lasts 2s) (acked 0.95)))
--- /dev/null
+++ b/tests/rig/traffic_stores.sexp
@@ -0,0 +1,13 @@
+; Stores that fail: a primary falls and another is named, one hangs, one errs, all while ops come.
+(rig (fronts 3) (fleet (pace 200ms) (time-out 80ms)) (stores (count 6) (groups 2)) (clients (rate 150))
+  (step (fault start) (until agreed))
+  (step (fault none) (lasts 1500ms) (acked 0.98))
+  (step (fault fall) (stores "0") (lasts 500ms))
+  (step (fault promote) (stores "2") (lasts 2s) (acked 0.8))
+  (step (fault rise) (stores "0") (lasts 2s) (acked 0.95))
+  (step (fault hang) (stores "4") (lasts 2s) (acked 0.9))
+  (step (fault recover) (stores "4") (lasts 1s))
+  (step (fault errors) (stores "5") (share 0.3) (lasts 2s) (acked 0.8))
+  (step (fault recover) (stores "5") (lasts 1s))
+  (step (fault stall) (stores "3,4") (lasts 3s) (acked 0.9))
+  (step (fault recover) (stores "3,4") (lasts 1s) (acked 0.95)))
