Shares: what a front may use of what the fleet has, by an office under leases of a majority

A restarted front has a quarter at once and its whole slot when the office says so, or when all that could have been given of it has ended. The virtual fleet runs both cores, with clocks that drift and datagrams that come back.

Tests by RapidCheck, 300 runs each: the sum at every step of drawn kills, stops, cuts one way and both, delays of 1.5 s, loss, lending; use of what the dead left, theirs again when back; lending and giving back within two leases. On the way the second found that two candidates bound each other's voters for a lease and that lenders stopped and began in step; both are mended.

--- a/src/rig/virtual_fleet.hpp
+++ b/src/rig/virtual_fleet.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -14,6 +15,7 @@
 #include <vector>
 
 #include "membership/membership.hpp"
+#include "shares/shares.hpp"
 
 namespace reedspindle::rig {
 
@@ -46,6 +48,17 @@
   // A process' clock stands apart from the others' by as much from its next start on.
   void clock(int front, Millis apart) { processes_.at(at(front)).apart = apart; }
   void name(int front, const std::string& name) { processes_.at(at(front)).name = name; }
+  // Its steady clock gains or loses by that share, from its next start on.
+  void drift(int front, double share) { processes_.at(at(front)).rate = 1 + share; }
+
+  // From their next start on the processes share what the fleet has, too.
+  void share(const shares::Charge& charge) { sharing_ = charge; }
+  void want(int front, const shares::Demand& demand);
+  // What a process may use now, by its own clock; nothing where it does not run or is stopped.
+  shares::Part part(int front) const;
+  const shares::Shares* shares(int front) const { return processes_.at(at(front)).shares.get(); }
+  // Called after each step with the time.
+  std::function<void(Millis)> stepped;
 
   void start(int front);
   void kill(int front);
@@ -62,6 +75,7 @@
   membership::View view(int front) const { return processes_.at(at(front)).core->view(); }
   std::string name_of(int front) const { return processes_.at(at(front)).name; }
   Load load(int front) const { return processes_.at(at(front)).load; }
+  Load shares_load(int front) const { return processes_.at(at(front)).shares_load; }
   // Whether each front that is up holds each other that is up for there, and nobody else for here.
   bool agreed() const;
 
@@ -69,27 +83,43 @@
   struct Process {
     std::string name;
     std::unique_ptr<membership::Membership> core;
+    std::unique_ptr<shares::Shares> shares;
+    double rate = 1;
+    Millis born = 0;
+    Millis shares_wake = 0;
+    std::vector<shares::Heard> shares_waiting;
     int life = 0;  // datagrams and wake-ups of an earlier one come to nothing
     Millis wakes = 0, apart = 0;
     bool stopped = false;
     std::vector<membership::Heard> waiting;  // while it is stopped, as in a socket
     std::string last;
-    Load load;
+    Load load, shares_load;
   };
   struct Due {
     Millis at = 0;
     std::uint64_t order = 0;
     int front = 0, life = 0, from = -1;  // below 0: a wake-up
+    enum class Of { membership, shares, refusal } of = Of::membership;
     std::string bytes;
     bool operator>(const Due& other) const { return std::pair(at, order) > std::pair(other.at, other.order); }
   };
   static std::size_t at(int front) { return static_cast<std::size_t>(front); }
   double chance() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }
   void settle(int front);
+  void settle_shares(int front);
+  void hear_shares(int front, int from, const std::string& bytes);
   void send(int from, int to, const std::string& bytes);
+  // The process' own time, and when that will be.
+  static Millis own(const Process& process, Millis now) {
+    return process.born + (now - process.born) * process.rate + process.apart;
+  }
+  static Millis when(const Process& process, Millis own) {
+    return process.born + (own - process.apart - process.born) / process.rate;
+  }
 
   const membership::Charge charge_;
   const Maker maker_;
+  std::optional<shares::Charge> sharing_;
   std::minstd_rand random_;
   std::vector<Process> processes_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
--- /dev/null
+++ b/src/shares/message.cpp
@@ -0,0 +1,82 @@
+#include "shares/message.hpp"
+
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace reedspindle::shares {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kLetter = 'S';
+constexpr int kForm = 1;
+constexpr std::uint64_t kMostPlaces = 1 << 16, kMostSlots = kMostPlaces * kSlot;
+constexpr std::size_t kLongest = 256;
+constexpr Millis kLongestLeft = 3600000;
+
+enum Flag { held = 1, yes = 2, young = 4, own = 8, need = 16 };
+
+std::optional<std::uint64_t> whole(const Json& json, std::uint64_t most) {
+  if (!json.is_number_unsigned() || json.get<std::uint64_t>() > most) return std::nullopt;
+  return json.get<std::uint64_t>();
+}
+
+}  // namespace
+
+std::string bytes_of(const Message& m) {
+  const int flags = m.held * held | m.yes * yes | m.young * young | m.own * own | m.need * need;
+  // The number stands first: of a datagram that comes back only the beginning is sure to.
+  const Json json = {m.number, kForm,          static_cast<int>(m.kind),
+                     m.of,     m.place.number, m.life.number,
+                     m.terms,  flags,          m.wants,
+                     m.lends,  m.amount,       m.left};
+  const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+  return std::string(1, kLetter) + std::string(bytes.begin(), bytes.end());
+}
+
+std::optional<Message> message_in(std::string_view bytes) {
+  if (!is_for_shares(bytes) || bytes.size() > kLongest) return std::nullopt;
+  const Json json = Json::from_cbor(bytes.begin() + 1, bytes.end(), true, false);
+  if (!json.is_array() || json.size() != 12 || json[1] != kForm) return std::nullopt;
+  constexpr auto k32 = std::numeric_limits<std::uint32_t>::max();
+  const auto number = whole(json[0], k32), kind = whole(json[2], static_cast<int>(Kind::gone)),
+             of = whole(json[3], k32), place = whole(json[4], kMostPlaces - 1),
+             life = whole(json[5], std::numeric_limits<std::uint64_t>::max() >> 1),
+             terms = whole(json[6], k32), flags = whole(json[7], 31), wants = whole(json[8], kMostSlots),
+             lends = whole(json[9], kSlot), amount = whole(json[10], kMostSlots);
+  if (!number || !kind || !of || !place || !life || !terms || !flags || !wants || !lends || !amount)
+    return std::nullopt;
+  if (!json[11].is_number()) return std::nullopt;
+  const auto left = json[11].get<double>();
+  if (!std::isfinite(left) || left < 0 || left > kLongestLeft) return std::nullopt;
+  Message m;
+  m.kind = static_cast<Kind>(*kind), m.number = static_cast<std::uint32_t>(*number);
+  m.of = static_cast<std::uint32_t>(*of), m.place = {static_cast<int>(*place)}, m.life = {*life};
+  m.terms = static_cast<std::uint32_t>(*terms);
+  m.held = *flags & held, m.yes = *flags & yes, m.young = *flags & young, m.own = *flags & own;
+  m.need = *flags & need;
+  m.wants = static_cast<int>(*wants), m.lends = static_cast<int>(*lends),
+  m.amount = static_cast<int>(*amount);
+  m.left = left;
+  return m;
+}
+
+std::optional<std::uint32_t> question_in(std::string_view bytes) {
+  // An array of twelve, then its number, as CBOR writes them.
+  if (!is_for_shares(bytes) || bytes.size() < 2 || static_cast<unsigned char>(bytes[1]) != 0x8c)
+    return std::nullopt;
+  bytes.remove_prefix(2);
+  if (bytes.empty()) return std::nullopt;
+  const auto head = static_cast<unsigned char>(bytes[0]);
+  const std::size_t more = head < 24 ? 0 : head == 24 ? 1 : head == 25 ? 2 : head == 26 ? 4 : 99;
+  if (more + 3 > bytes.size()) return std::nullopt;
+  std::uint32_t number = more == 0 ? head : 0;
+  for (std::size_t at = 1; at <= more; ++at) number = number << 8 | static_cast<unsigned char>(bytes[at]);
+  const bool question = bytes[more + 1] == kForm && bytes[more + 2] == static_cast<char>(Kind::question);
+  return question ? std::optional(number) : std::nullopt;
+}
+
+bool is_for_shares(std::string_view bytes) { return !bytes.empty() && bytes[0] == kLetter; }
+
+}  // namespace reedspindle::shares
--- /dev/null
+++ b/src/shares/shares.hpp
@@ -0,0 +1,99 @@
+// What this front may use of what the whole fleet has, so that all live fronts together never use more than
+// the whole: its own slot, and for a time what others are known not to use, handed out by one front that
+// holds an office by leases of a majority. Free of I/O: events in, decisions out. docs/design-shares.md says
+// why it holds.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "logic.hpp"
+#include "shares/message.hpp"
+
+namespace reedspindle::shares {
+
+// What a front is told; all but its place has to be the same everywhere.
+struct Charge {
+  Place place;
+  int fleet = 1;           // places that count, as the operators have agreed; each has one slot
+  Millis lease = 2000;     // of the office, and the most of what it hands out
+  Millis evidence = 1000;  // for how long "nobody listens there" may be gone by
+  double drift = 0.01;     // the share by which two steady clocks may differ in their rates
+  int kept = 250;          // thousandths of its slot that nobody else is ever given: a front has them at once
+  Millis notice = 500;     // before a lease ends, from when on nothing new is begun by it
+};
+
+// Events.
+struct Heard {
+  Place from;
+  std::string bytes;
+};
+// A datagram came back: nobody listens there. As much of it as came back.
+struct Refused {
+  Place at;
+  std::string bytes;
+};
+// Who is there in the membership's eyes, without this front. A hint on whom to ask; nothing is held safe by
+// it.
+struct Fellows {
+  std::set<Place> there;
+};
+// What this front could use beyond its plain part, or does not use of it.
+struct Demand {
+  int wants = 0, lends = 0;
+};
+// It uses nothing any more and will not again.
+struct Leaving {};
+using Event = std::variant<Heard, Refused, Fellows, Demand, Leaving>;
+
+// Thousandths of a slot.
+struct Part {
+  int open = 0;  // up to where something new may be begun
+  int hold = 0;  // what must not be exceeded
+  bool operator==(const Part&) const = default;
+};
+
+// Decisions.
+struct Tell {
+  Place to;
+  std::string bytes;
+};
+struct WakeAt {
+  Millis at = 0;
+};
+enum class Finding { holds_office, lost_office, whole, other_terms };
+const char* word_of(Finding finding);
+struct Found {
+  Finding finding = Finding::holds_office;
+  Place place;  // other_terms: whose
+};
+struct Changed {
+  Part part;
+};
+using Decision = std::variant<Tell, WakeAt, Found, Changed>;
+
+struct View {
+  Part part;
+  bool office = false;        // this front holds it
+  Place holder;               // who holds it as far as is heard; below 0: nobody
+  int pool = 0, given = 0;    // where it holds the office: there is to hand out, and is handed out
+  std::uint64_t dropped = 0;  // datagrams that did not read or are not believed
+};
+
+class Shares {
+ public:
+  virtual ~Shares() = default;
+  virtual void note(Event event) = 0;
+  virtual std::vector<Decision> settle(Millis now) = 0;
+  // By the clock at that moment: what was handed out may have ended since the last settle.
+  virtual Part part(Millis now) const = 0;
+  virtual View view() const = 0;
+};
+
+std::unique_ptr<Shares> make_shares(const Charge& charge, std::uint64_t seed);
+
+}  // namespace reedspindle::shares
