Shares in the front: connections to a store by this front's part; the rig counts them at the stores

Tier runs src/shares on the peers' socket where the operators' file has (fleet (shares ...)); its part is turned into connections a store (src/shares/use), which Members keeps to: new ones up to the part that lasts, none beyond the one that ends. Datagrams that come back (port unreachable, the socket's queue of errors) are its evidence. Off without the key: the bare front does nothing of it. The rig's relay says nobody listens where a front's process has ended and no link to it is cut, and the rig ends a run in which any store has more connections than there are for all fronts.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -30,7 +30,7 @@
         noted_.push_back({PeerSpoke{peer, std::move(text)}});
       }) {
   log_.be(orders.log);
-  if (orders.fleet) tier_.emplace(timers_, clock_, log_, placement_, *orders.fleet, peers_);
+  if (orders.fleet) tier_.emplace(timers_, clock_, log_, placement_, *orders.fleet, peers_, members_);
 }
 
 void Front::run() {
@@ -54,14 +54,15 @@
     log_.flush();
   }
   log_.info("front", "stops, all it took is answered", {{"name", placement_.name}});
+  clients_.stop();
+  members_.stop();
   if (tier_) tier_->stop();
   peers_.stop();
   list_.stop();
-  clients_.stop();
-  members_.stop();
 }
 
 void Front::settle() {
+  if (tier_) tier_->look();
   const Millis now = clock_.now();
   for (Noted& noted : std::exchange(noted_, {})) {
     if (auto* arrived = std::get_if<OpArrived>(&noted.event)) {
--- a/src/front/orders.cpp
+++ b/src/front/orders.cpp
@@ -1,7 +1,9 @@
 #include "front/orders.hpp"
 
 #include <algorithm>
+#include <cmath>
 
+#include "shares/use.hpp"
 #include "values.hpp"
 
 namespace reedspindle::front {
@@ -21,6 +23,23 @@
     throw operators::Faulty({fmt::format("{}:{}: fleet.time-out: less than fleet.pace was expected", path,
                                          line == file.lines.end() ? 1 : line->second)});
   }
+  if (told.contains("shares")) {
+    const nlohmann::json& of = told["shares"];
+    shares::Charge& charge = fleet.shares.emplace();
+    charge.fleet = of["fleet"], charge.lease = of["lease"], charge.evidence = of["evidence"];
+    charge.notice = of["notice"], charge.drift = of["drift"];
+    charge.kept = static_cast<int>(std::lround(of["kept"].get<double>() * shares::kSlot));
+    fleet.connections = of["connections"];
+    const auto faulty = [&](const char* key, const char* expected) {
+      const auto line = file.lines.find(fmt::format("fleet.shares.{}", key));
+      throw operators::Faulty({fmt::format("{}:{}: fleet.shares.{}: {} was expected", path,
+                                           line == file.lines.end() ? 1 : line->second, key, expected)});
+    };
+    if (charge.notice * 2 > charge.lease) faulty("notice", "at most half of fleet.shares.lease");
+    // A front that has just started would have none.
+    if (shares::connections_of({charge.kept, charge.kept}, charge, fleet.connections).open < 1)
+      faulty("connections", "enough that each front keeps one at least (connections x kept / fleet)");
+  }
   if (told.contains("place")) fleet.place = told["place"].get<int>();
   fleet.status = told.value("status", "");
   orders.fleet = std::move(fleet);
--- a/src/front/orders.hpp
+++ b/src/front/orders.hpp
@@ -9,13 +9,16 @@
 #include "links/placement.hpp"
 #include "membership/membership.hpp"
 #include "operators/file.hpp"
+#include "shares/shares.hpp"
 
 namespace reedspindle::front {
 
 struct Fleet {
   membership::Charge charge;  // its name, place and number of places come from the placement
   std::optional<int> place;
-  std::string status;  // a file; empty: none
+  std::string status;                    // a file; empty: none
+  std::optional<shares::Charge> shares;  // its place comes with the membership's
+  int connections = 0;                   // that one store takes from all fronts together
 };
 struct Orders {
   links::LogManner log;
--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -1,9 +1,15 @@
 #include "front/peers.hpp"
 
+#include <linux/errqueue.h>
+#include <netinet/in.h>
+#include <netinet/ip_icmp.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include "membership/message.hpp"
+#include "shares/message.hpp"
 
 namespace reedspindle::front {
 
@@ -29,6 +35,49 @@
   if (!socket_.is_open() || static_cast<std::size_t>(peer) >= peers_.size()) return;
   asio::error_code lost;
   socket_.send_to(asio::buffer(bytes), peers_[static_cast<std::size_t>(peer)], 0, lost);
+  // An error of an earlier datagram stops this one, once.
+  if (lost && refused_) {
+    hear_refusals();
+    socket_.send_to(asio::buffer(bytes), peers_[static_cast<std::size_t>(peer)], 0, lost);
+  }
+}
+
+void Peers::hand_over_shares(Heard heard, Heard refused) {
+  shares_ = std::move(heard), refused_ = std::move(refused);
+  if (!socket_.is_open()) return;
+  const int on = 1;
+  setsockopt(socket_.native_handle(), IPPROTO_IP, IP_RECVERR, &on, sizeof on);
+}
+
+// The machine at the other end says that nobody has that port (ICMP, RFC 1122 4.1.3.1); Linux keeps the
+// datagram and where it went in the socket's queue of errors (ip(7), IP_RECVERR). Other errors say nothing of
+// who is there.
+void Peers::hear_refusals() {
+  for (int taken = 0; taken < 64 && socket_.is_open(); ++taken) {
+    std::array<char, 512> bytes;
+    alignas(cmsghdr) std::array<char, 512> more;
+    sockaddr_in to{};
+    iovec part{bytes.data(), bytes.size()};
+    msghdr message{};
+    message.msg_name = &to, message.msg_namelen = sizeof to;
+    message.msg_iov = &part, message.msg_iovlen = 1;
+    message.msg_control = more.data(), message.msg_controllen = more.size();
+    const ssize_t count = recvmsg(socket_.native_handle(), &message, MSG_ERRQUEUE | MSG_DONTWAIT);
+    if (count < 0) return;
+    for (cmsghdr* head = CMSG_FIRSTHDR(&message); head; head = CMSG_NXTHDR(&message, head)) {
+      if (head->cmsg_level != IPPROTO_IP || head->cmsg_type != IP_RECVERR) continue;
+      sock_extended_err fault;
+      std::copy_n(CMSG_DATA(head), sizeof fault, reinterpret_cast<unsigned char*>(&fault));
+      if (fault.ee_origin != SO_EE_ORIGIN_ICMP || fault.ee_type != ICMP_DEST_UNREACH ||
+          fault.ee_code != ICMP_PORT_UNREACH)
+        continue;
+      const asio::ip::udp::endpoint at(asio::ip::address_v4(ntohl(to.sin_addr.s_addr)), ntohs(to.sin_port));
+      const auto peer = std::ranges::find(peers_, at);
+      if (peer != peers_.end())
+        refused_(static_cast<int>(peer - peers_.begin()),
+                 std::string(bytes.data(), static_cast<std::size_t>(count)));
+    }
+  }
 }
 
 void Peers::stop() {
@@ -40,11 +89,15 @@
   socket_.async_receive_from(
       asio::buffer(bytes_), sender_, [this](const asio::error_code& fault, std::size_t count) {
         if (fault == asio::error::operation_aborted || !socket_.is_open()) return;
+        if (refused_) hear_refusals();
         const auto peer = std::ranges::find(peers_, sender_);
         if (!fault && count <= kLongest && peer != peers_.end()) {
           std::string text(bytes_.data(), count);
           const bool membership = membership_ && membership::is_for_membership(text);
-          (membership ? membership_ : heard_)(static_cast<int>(peer - peers_.begin()), std::move(text));
+          const bool shares = shares_ && shares::is_for_shares(text);
+          (membership ? membership_
+           : shares   ? shares_
+                      : heard_)(static_cast<int>(peer - peers_.begin()), std::move(text));
         }
         listen();
       });
--- a/src/front/peers.hpp
+++ b/src/front/peers.hpp
@@ -25,17 +25,20 @@
   void tell(int peer, const std::string& bytes);
   // From now on the membership's datagrams go there.
   void hand_over(Heard heard) { membership_ = std::move(heard); }
+  // From now on those on shares go there, and as much as comes back of one where nobody listens.
+  void hand_over_shares(Heard heard, Heard refused);
   // The list has changed: who stands where, and who is believed.
   void learn(std::vector<asio::ip::udp::endpoint> peers) { peers_ = std::move(peers); }
   void stop();
 
  private:
   void listen();
+  void hear_refusals();
 
   Log& log_;
   const Placement& placement_;
   const Heard heard_;
-  Heard membership_;  // none: it is off
+  Heard membership_, shares_, refused_;  // none: it is off
   std::vector<asio::ip::udp::endpoint> peers_;
   asio::ip::udp::socket socket_;
   asio::ip::udp::endpoint sender_;
--- a/src/links/members.cpp
+++ b/src/links/members.cpp
@@ -63,6 +63,7 @@
   std::deque<std::unique_ptr<Work>> waiting;
   std::vector<Connection*> idle;  // the one used last at the end
   std::size_t coming = 0;         // connections that open or settle
+  std::size_t connections = 0;    // all of them
 };
 
 struct Members::Connection {
@@ -155,7 +156,32 @@
 
 void Members::dispatch(Store& store) {
   while (store.coming < store.waiting.size() && !store.idle.empty()) settle(*store.idle.back());
-  while (store.coming < store.waiting.size()) open(store);
+  while (store.coming < store.waiting.size() && store.connections < open_) open(store);
+  count(store);
+}
+
+// What stands idle is not needed; what waits and has no connection coming is.
+void Members::count(const Store& store) {
+  const std::size_t without = store.waiting.size() > store.coming ? store.waiting.size() - store.coming : 0;
+  need_ = std::max(need_, store.connections - store.idle.size() + without);
+}
+
+void Members::limit(std::size_t open, std::size_t hold) {
+  const bool more = open > open_;
+  open_ = open, hold_ = hold;
+  for (auto& [id, store] : stores_) more ? dispatch(*store) : shrink(*store);
+}
+
+// Idle connections go first, up to the first figure; beyond the second all others too, whatever is on them.
+void Members::shrink(Store& store) {
+  while (store.connections > open_ && !store.idle.empty()) give_back(*store.idle.front());
+  while (store.connections > hold_) {
+    const auto last = std::ranges::find_if(connections_.rbegin(), connections_.rend(),
+                                           [&](const Connected& one) { return &one->store == &store; });
+    Connection& connection = **last;
+    const Ending ending = connection.written ? Ending::reset : Ending::connect_failed;
+    if (std::unique_ptr<Work> work = give_back(connection)) end(std::move(work), ending);
+  }
 }
 
 void Members::open(Store& store) {
@@ -164,7 +190,7 @@
   const auto connection = std::make_shared<Connection>(io_, store, allowance_);
   connection->place = connections_.insert(connections_.end(), connection);
   connection->opened = clock_.now();
-  ++store.coming;
+  ++store.coming, ++store.connections;
   connection->limit = timers_.set(clock_.now() + placement_.connect_time_out, [this, connection] {
     connection->limit.reset();
     opened_not(*connection, Ending::connect_failed);
@@ -335,7 +361,7 @@
   connection.idle_since = clock_.now();
   connection.store.idle.push_back(&connection);
   Store& store = connection.store;
-  if (outlived(connection)) give_back(connection);
+  if (outlived(connection) || (store.connections > open_ && store.waiting.empty())) give_back(connection);
   dispatch(store);
 }
 
@@ -428,6 +454,12 @@
   std::unique_ptr<Work> work = std::move(connection.work);
   const Connected last = *connection.place;  // callbacks that are still out hold it, too
   connections_.erase(connection.place);
+  // Where a limit holds sends back, one of them may have its turn now.
+  if (--connection.store.connections < open_ && open_ != kAny &&
+      connection.store.waiting.size() > connection.store.coming)
+    asio::post(io_, [this, id = connection.store.id] {
+      if (const auto found = stores_.find(id); found != stores_.end()) dispatch(*found->second);
+    });
   return work;
 }
 
--- a/src/links/members.hpp
+++ b/src/links/members.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "links/buffer.hpp"
@@ -41,6 +42,11 @@
   void forget(const MemberId& member);
   void probe(const MemberId& member, Millis time_out);
 
+  // How many connections to one store there may be: new ones up to the first figure, none beyond the second.
+  void limit(std::size_t open, std::size_t hold);
+  // The most that any store has needed at once since the last call, those not had for the limit included.
+  std::size_t take_need() { return std::exchange(need_, 0); }
+
   void stop();
 
  private:
@@ -70,6 +76,8 @@
   void rest(Connection& connection);
   std::unique_ptr<Work> give_back(Connection& connection);
   void sweep();
+  void shrink(Store& store);
+  void count(const Store& store);
   // Gives back the connection that has been idle longest, of any store. False: none is idle.
   bool close_an_idle_one();
 
@@ -85,6 +93,8 @@
   std::list<Connected> connections_;  // the one owner of each
   std::map<std::pair<OpId, SendNumber>, Work*> sends_;
   std::optional<Timers::Handle> sweep_;
+  std::size_t open_ = kAny, hold_ = kAny, need_ = 0;
+  static constexpr std::size_t kAny = static_cast<std::size_t>(-1);
 };
 
 }  // namespace reedspindle::links
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -84,6 +84,10 @@
   const nlohmann::json& fleet = file.values["fleet"];
   plan.fleet.pace = fleet["pace"], plan.fleet.time_out = fleet["time-out"];
   plan.fleet.patience = fleet["patience"], plan.fleet.forget = fleet["forget"];
+  if (fleet.contains("shares")) {
+    const nlohmann::json& told = fleet["shares"];
+    plan.shares = {told["connections"], told["lease"], told["evidence"], told["notice"], told["kept"]};
+  }
   stores_in(file.values, plan);
   std::vector<std::string> faults;
   int told_so_far = 0;
@@ -98,7 +102,7 @@
     step.stores = fronts_in(told.value("stores", ""));
     for (const char* with : {"discovery", "clients"})
       if (told.value("with", "").find(with) != std::string::npos) step.with.insert(with);
-    step.rate = told["rate"], step.acked = told["acked"];
+    step.rate = told["rate"], step.acked = told["acked"], step.part = told["part-at-least"];
     step.clock = told["clock"], step.by = told["by"], step.jitter = told["jitter"],
     step.share = told["share"];
     step.count = told["count"], step.lasts = told["lasts"], step.within = told["within"];
--- a/src/rig/plan.hpp
+++ b/src/rig/plan.hpp
@@ -23,6 +23,7 @@
   std::set<std::string> with;  // discovery, clients: what else the links of the fronts go to
   Millis clock = 0, by = 0, jitter = 0, lasts = 0, within = 0;
   double share = 0, rate = 0;
+  double part = 0;   // slots that each that runs has to have
   double acked = 0;  // share of the step's ops that has to be acked in time
   int count = 0;
   int line = 0;  // of the plan
@@ -33,6 +34,11 @@
   std::uint64_t seed = 0;
   Millis longest = 0;
   membership::Charge fleet;
+  struct Shares {
+    int connections = 0;  // that one store takes from all fronts together; 0: nothing is shared
+    Millis lease = 0, evidence = 0, notice = 0;
+    double kept = 0;
+  } shares;
   Millis lag = 0;  // that replicas stand behind, unless a step changes it
   StoreWork work;
   ClientWork clients;
--- a/src/rig/process.hpp
+++ b/src/rig/process.hpp
@@ -24,6 +24,8 @@
   void reload(const std::string& placement);
   void signal(int signal);  // SIGSTOP, SIGCONT and such as end it
   bool up() const { return pid_ > 0 && !ending_; }
+  // There is a process, even if it was told to end.
+  bool runs() const { return pid_ > 0; }
   bool stopped() const { return stopped_; }
   // Looks whether it has ended. True: it did by itself, which a front that was not told to must not.
   bool crashed();
--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -8,10 +8,14 @@
 constexpr std::size_t kKept = 256;  // datagrams of each front, for replays
 
 struct Relay::Stand {
-  Stand(asio::io_context& io, int of, const Endpoint& at) : front(of), socket(io, at) {
+  Stand(asio::io_context& io, int of, const Endpoint& place) : front(of), at(place), socket(io) { open(); }
+  void open() {
+    socket.open(at.protocol());
+    socket.bind(at);
     socket.non_blocking(true);
   }
   const int front;
+  const Endpoint at;
   asio::ip::udp::socket socket;
   Endpoint sender;
   std::array<char, 2048> bytes;
@@ -20,7 +24,8 @@
 
 Relay::Relay(asio::io_context& io, links::Timers& timers, const links::Clock& clock,
              std::vector<Endpoint> fronts, std::vector<Endpoint> stands, std::uint64_t seed)
-    : timers_(timers),
+    : io_(io),
+      timers_(timers),
       clock_(clock),
       fronts_(std::move(fronts)),
       random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
@@ -36,10 +41,28 @@
 
 void Relay::heal() { std::ranges::fill(links_, Link{}); }
 
+bool Relay::any_cut(int front) const {
+  for (std::size_t other = 0; other < fronts_.size(); ++other)
+    if (links_[index(front, static_cast<int>(other))].cut ||
+        links_[index(static_cast<int>(other), front)].cut)
+      return true;
+  return false;
+}
+
+void Relay::listening(int front, bool process) {
+  Stand& stand = *stands_[static_cast<std::size_t>(front)];
+  const bool wanted = process || any_cut(front);
+  if (wanted == stand.socket.is_open()) return;
+  if (!wanted) return stand.socket.close();
+  stand.open();
+  listen(stand);
+}
+
 void Relay::listen(Stand& stand) {
   stand.socket.async_receive_from(asio::buffer(stand.bytes), stand.sender,
                                   [this, &stand](const asio::error_code& fault, std::size_t count) {
-                                    if (fault == asio::error::operation_aborted) return;
+                                    if (fault == asio::error::operation_aborted || !stand.socket.is_open())
+                                      return;
                                     const auto from = std::ranges::find(fronts_, stand.sender);
                                     if (!fault && from != fronts_.end())
                                       came(static_cast<int>(from - fronts_.begin()), stand.front,
@@ -68,7 +91,8 @@
 }
 
 void Relay::pass(int from, int to, const std::string& bytes) {
-  asio::error_code lost;  // as a network does
+  asio::error_code lost;                                                   // as a network does
+  if (!stands_[static_cast<std::size_t>(from)]->socket.is_open()) return;  // it has ended meanwhile
   stands_[static_cast<std::size_t>(from)]->socket.send_to(asio::buffer(bytes),
                                                           fronts_[static_cast<std::size_t>(to)], 0, lost);
 }
--- a/src/rig/relay.hpp
+++ b/src/rig/relay.hpp
@@ -39,6 +39,9 @@
 
   Link& link(int from, int to) { return links_.at(index(from, to)); }
   void heal();
+  // Whether somebody listens at a front's place. Where nobody does, who sends there is told so by this
+  // machine, as by the front's own; but not while any link to it is cut, for nothing comes through those.
+  void listening(int front, bool process);
   Carried carried(int front) const { return carried_.at(static_cast<std::size_t>(front)); }
 
   // To one front as if from another, whatever the link between them is like: what does not read, or what that
@@ -49,6 +52,7 @@
  private:
   struct Stand;
   void listen(Stand& stand);
+  bool any_cut(int front) const;
   void came(int from, int to, std::string bytes);
   void pass(int from, int to, const std::string& bytes);
   std::size_t index(int from, int to) const {
@@ -56,6 +60,7 @@
   }
   double chance() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }
 
+  asio::io_context& io_;
   links::Timers& timers_;
   const links::Clock& clock_;
   const std::vector<Endpoint> fronts_;
--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -81,13 +81,20 @@
   begin_anew(front);
   if (!step.name.empty()) names_[static_cast<std::size_t>(front)] = step.name;
   const membership::Charge& fleet = plan_.fleet;
+  relay_->listening(front, true);
+  std::string shares;
+  if (plan_.shares.connections > 0)
+    shares = fmt::format(
+        " (shares (fleet {}) (connections {}) (lease {}ms) (evidence {}ms) (notice {}ms) (kept {}))",
+        plan_.fronts, plan_.shares.connections, plan_.shares.lease, plan_.shares.evidence,
+        plan_.shares.notice, plan_.shares.kept);
   process(front).start(
       placement_of(front),
       fmt::format(
           "(reedspindle (log (form json) (lines-of-a-kind {}))\n (clock (offset {}ms))\n"
-          " (fleet (place {}) (pace {}ms) (time-out {}ms) (patience {}) (forget {}ms) (status \"{}\")))\n",
+          " (fleet (place {}) (pace {}ms) (time-out {}ms) (patience {}) (forget {}ms) (status \"{}\"){}))\n",
           kLinesOfAKind, step.clock, front, fleet.pace, fleet.time_out, fleet.patience, fleet.forget,
-          process(front).status_path()));
+          process(front).status_path(), shares));
 }
 
 std::string Rig::placement_of(int front) const {
@@ -182,14 +189,18 @@
     run(std::min(kLook, std::max(1.0, from + step.lasts - clock_.now())));
     const Millis took = spent_ = clock_.now() - from;
     if (interrupted_) return {false, took, "interrupted"};
-    for (int front = 0; front < plan_.fronts; ++front)
+    for (int front = 0; front < plan_.fronts; ++front) {
       if (process(front).crashed())
         return {false, took, fmt::format("{} has ended by itself", name_of(front))};
+      relay_->listening(front, process(front).runs());
+    }
     if (std::string why = mistaken(step); !why.empty()) return {false, took, std::move(why)};
     if (std::string why = broken(); !why.empty()) return {false, took, std::move(why)};
+    if (std::string why = too_many(); !why.empty()) return {false, took, std::move(why)};
     if (clock_.now() - began_ > plan_.longest) return {false, took, "the whole run has taken too long"};
     if (took < step.lasts + over) continue;
     std::string why = missing(step);
+    if (why.empty()) why = too_little(step);
     if (why.empty()) why = too_few(step, from);
     // Clients ask from the end of the first step on.
     if (why.empty() && surroundings_) surroundings_->begin();
@@ -230,6 +241,36 @@
   return text;
 }
 
+// Beyond what a store takes from all fronts together. A process that stands still can't close what it has
+// open.
+std::string Rig::too_many() {
+  if (!surroundings_) return "";
+  std::set<int> stopped;
+  for (int front = 0; front < plan_.fronts; ++front)
+    if (process(front).stopped()) stopped.insert(front);
+  for (int store = 0; store < plan_.stores; ++store) {
+    const int open = surroundings_->connections(store, stopped);
+    most_ = std::max(most_, open);
+    if (plan_.shares.connections > 0 && open > plan_.shares.connections)
+      return fmt::format("{} connections to store s{}, {} are there for all fronts", open, store,
+                         plan_.shares.connections);
+  }
+  return "";
+}
+
+std::string Rig::too_little(const Step& step) const {
+  if (step.part <= 0) return "";
+  for (int front = 0; front < plan_.fronts; ++front) {
+    if (!process(front).up() || process(front).stopped()) continue;
+    const Json status = process(front).status();
+    const double part =
+        status.is_null() || status["shares"].is_null() ? 0 : status["shares"]["open"].get<double>() / 1000;
+    if (part < step.part)
+      return fmt::format("{} has a part of {:.3f}, not {:.3f}", name_of(front), part, step.part);
+  }
+  return "";
+}
+
 std::string Rig::too_few(const Step& step, Millis from) const {
   if (step.acked <= 0) return "";
   if (!surroundings_ || !surroundings_->asking()) return "no client asks yet";
@@ -365,6 +406,7 @@
     const Millis now = clock_.now();
     const Tally tally = surroundings_->between(now - spent_, now);
     text += fmt::format(", {} ops", tally.ops());
+    text += fmt::format(", most connections {}", most_);
     for (const auto& [came, count] : tally.came) text += fmt::format(" {} {}", word_of(came), count);
   }
   return text;
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -50,6 +50,8 @@
   std::string hold(int front, const std::set<int>& of, const std::string& standing, bool alone) const;
   std::string mistaken(const Step& step);
   std::string broken();
+  std::string too_many();
+  std::string too_little(const Step& step) const;
   std::string too_few(const Step& step, Millis from) const;
   void begin_anew(int front);
   std::string name_of(int front) const { return names_.at(static_cast<std::size_t>(front)); }
@@ -71,6 +73,7 @@
   };
   std::vector<Happened> happened_;
   std::vector<rules::Broken> broken_;
+  int most_ = 0;  // connections that any store had at once
   std::vector<std::string> names_;
   int listed_;  // places that the lists have
   std::vector<std::unique_ptr<Process>> processes_;
--- a/src/rig/streams.cpp
+++ b/src/rig/streams.cpp
@@ -34,6 +34,7 @@
   asio::ip::tcp::acceptor acceptor;
   const Endpoint target;
   Way to, back;
+  int open = 0;  // connections that who opened them has not ended
 };
 
 struct Streams::Pipe {
@@ -100,7 +101,9 @@
       connection->far = connection->opener.remote_endpoint(gone);
       if (!gone) {
         connections_.push_back(connection);
+        ++gate.open;
         ends_[connection->far] = connection;
+        read(connection, connection->to);
         connect(connection);
       }
     }
@@ -121,7 +124,7 @@
         ends_[connection->near] = connection;
         for (asio::ip::tcp::socket* socket : {&connection->opener, &connection->target})
           socket->set_option(asio::ip::tcp::no_delay(true), ignored);
-        read(connection, connection->to);
+        pass(connection, connection->to);
         read(connection, connection->back);
       });
 }
@@ -141,6 +144,7 @@
         pipe.last_due = due;
         if (fault) {
           pipe.passage.ended = now, pipe.over = true;
+          if (&pipe == &connection->to) --connection->gate.open;
           pipe.held.push_back({due, "", fault != asio::error::eof});
         } else {
           pipe.passage.read = now, pipe.passage.taken += count, pipe.bytes_held += count;
@@ -152,7 +156,8 @@
 }
 
 void Streams::pass(const Connected& connection, Pipe& pipe) {
-  if (connection->given_back || pipe.writing || pipe.held.empty() || pipe.way.cut) return;
+  if (connection->given_back || !connection->connected || pipe.writing || pipe.held.empty() || pipe.way.cut)
+    return;
   if (pipe.held.front().due > clock_.now()) {
     if (!pipe.wake)
       pipe.wake = timers_.set(pipe.held.front().due, [this, connection, &pipe] {
@@ -200,6 +205,7 @@
 
 void Streams::give_back(const Connected& connection) {
   if (std::exchange(connection->given_back, true)) return;
+  if (!connection->to.over) --connection->gate.open;
   asio::error_code ignored;
   connection->opener.close(ignored);
   connection->target.close(ignored);
@@ -236,6 +242,8 @@
     if (connection->gate.number == gate) break_off(connection);
 }
 
+int Streams::open_at(int gate) const { return gates_.at(static_cast<std::size_t>(gate))->open; }
+
 std::shared_ptr<const Crossing> Streams::crossing(const Endpoint& end) const {
   if (const auto found = ends_.find(end); found != ends_.end())
     if (const Connected connection = found->second.lock()) return connection->crossing;
--- a/src/rig/streams.hpp
+++ b/src/rig/streams.hpp
@@ -52,6 +52,9 @@
   // All ways whole again.
   void heal();
 
+  // Connections that who opened them has not ended.
+  int open_at(int gate) const;
+
   // By either of its two far ends; stays for a while after both have ended.
   std::shared_ptr<const Crossing> crossing(const Endpoint& end) const;
   // Bytes have gone out at the far side: to whom a connection was opened, or back to who opened it.
--- a/src/rig/surroundings.cpp
+++ b/src/rig/surroundings.cpp
@@ -260,6 +260,13 @@
 
 std::vector<rules::Broken> Surroundings::settle() { return rules_.settle(clock_.now()); }
 
+int Surroundings::connections(int store, const std::set<int>& without) const {
+  int sum = 0;
+  for (int front = 0; front < plan_.fronts; ++front)
+    if (!without.contains(front)) sum += streams_.open_at(gate(front, store));
+  return sum;
+}
+
 Tally Surroundings::between(Millis from, Millis to) const {
   Tally sum;
   sum.at = from;
--- a/src/rig/surroundings.hpp
+++ b/src/rig/surroundings.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   const std::deque<Tally>& tallies() const { return clients_.tallies(); }
   // Ops that were meant for a span of time and are over.
   Tally between(Millis from, Millis to) const;
+  // Connections that the fronts hold to a store, those left out that stand still.
+  int connections(int store, const std::set<int>& without) const;
   std::size_t open_ops() const { return clients_.open(); }
 
  private:
--- a/src/shares/shares.cpp
+++ b/src/shares/shares.cpp
@@ -195,8 +195,8 @@
 
   bool votes_for(Place candidate, Life life) {
     if (now_ < votes_from_) return false;
-    // Two who stand at once would bind each other's voters for a lease: the one further back gives up, for what
-    // it has asked for so far, and is free.
+    // Two who stand at once would bind each other's voters for a lease: the one further back gives up, for
+    // what it has asked for so far, and is free.
     if (bound_to_ == charge_.place && !holds() && candidate < charge_.place) {
       bids_.clear();
       bound_until_ = kNever;
@@ -355,7 +355,8 @@
     tell(asks.place, Kind::answer, [&](Message& message) {
       message.number = ++number_, message.of = asks.number;
       message.amount = amount, message.left = left, message.own = own;
-      // Who lends goes on as long as those before it don't lend enough; else all would stop, and start, at once.
+      // Who lends goes on as long as those before it don't lend enough; else all would stop, and start, at
+      // once.
       message.need = wanted > pool(asks.place);
       answers_.put(message.number, asks.place, now_);
     });
