--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "rig/report.hpp"
 #include "rig/rig.hpp"
 
 namespace {
@@ -92,6 +93,9 @@
   CLI::App* fleet =
       app.add_subcommand("show-fleet", "print the views that the processes of a run wrote last");
   fleet->add_option("folder", path, "the folder named by --keep")->required();
+  CLI::App* telling = app.add_subcommand("report", "tell a run second by second: faults, ops, broken rules");
+  telling->add_option("folder", path, "the folder named by --keep")->required();
+  telling->add_flag("--json", times, "the record as it is");
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& fault) {
@@ -102,6 +106,15 @@
       for (const std::string& view : rig::Rig::views(path)) std::cout << view << '\n';
       return 0;
     }
+    if (*telling) {
+      std::ifstream file(path + "/run.json");
+      const auto record = nlohmann::json::parse(file, nullptr, false);
+      if (!record.is_object()) throw std::runtime_error(path + "/run.json is missing or does not read");
+      if (times) std::cout << record.dump(2) << '\n';
+      if (!times)
+        for (const std::string& line : rig::report(record)) std::cout << line << '\n';
+      return 0;
+    }
     const rig::Plan plan = rig::plan_in(operators::read_file(path, rig::kPlan), path);
     if (*check) std::cout << path << ": sound\n";
     if (*show)
