--- a/tests/orders.sh
+++ b/tests/orders.sh
@@ -21,6 +21,9 @@
   try '(reedspindle (fleet (speed 3)))' run
   try '(reedspindle (fleet))' run
   try '(reedspindle (fleet (place 1)))' run
+  try '(reedspindle (fleet (shares (fleet 8) (connections 31))))' check
+  try '(reedspindle (fleet (shares (fleet 8) (connections 32) (lease 1s) (notice 501ms))))' check
+  try '(reedspindle (fleet (shares (connections 32))))' check
 } > printed
 diff - printed <<'END'
 file.sexp: sound
@@ -37,4 +40,10 @@
 exit code 2
 reedspindle: fleet.place: a place in peers was expected, or peer_listen among peers
 exit code 2
+file.sexp:1: fleet.shares.connections: enough that each front keeps one at least (connections x kept / fleet) was expected
+exit code 2
+file.sexp:1: fleet.shares.notice: at most half of fleet.shares.lease was expected
+exit code 2
+file.sexp:1: fleet.shares: fleet is missing
+exit code 2
 END
