--- a/src/links/members.cpp
+++ b/src/links/members.cpp
@@ -167,9 +167,11 @@
 }
 
 void Members::limit(std::size_t open, std::size_t hold) {
-  const bool more = open > open_;
   open_ = open, hold_ = hold;
-  for (auto& [id, store] : stores_) more ? dispatch(*store) : shrink(*store);
+  for (auto& [id, store] : stores_) {
+    shrink(*store);
+    dispatch(*store);
+  }
 }
 
 // Idle connections go first, up to the first figure; beyond the second all others too, whatever is on them.
--- a/src/membership/message.cpp
+++ b/src/membership/message.cpp
@@ -5,19 +5,20 @@
 #include <nlohmann/json.hpp>
 
 namespace reedspindle::membership {
-namespace {
 
 using Json = nlohmann::json;
 
-constexpr char kLetter = 'M';
-constexpr int kForm = 1;
-constexpr std::uint64_t kMostPlaces = 1 << 16;
-
 std::optional<std::uint64_t> whole(const Json& json, std::uint64_t most) {
   if (!json.is_number_unsigned() || json.get<std::uint64_t>() > most) return std::nullopt;
   return json.get<std::uint64_t>();
 }
 
+namespace {
+
+constexpr char kLetter = 'M';
+constexpr int kForm = 1;
+constexpr std::uint64_t kMostPlaces = 1 << 16;
+
 std::optional<Place> place_in(const Json& json) {
   const auto number = whole(json, kMostPlaces - 1);
   if (!number) return std::nullopt;
--- a/src/shares/message.cpp
+++ b/src/shares/message.cpp
@@ -8,20 +8,15 @@
 namespace {
 
 using Json = nlohmann::json;
+using membership::whole;
 
 constexpr char kLetter = 'S';
 constexpr int kForm = 1;
 constexpr std::uint64_t kMostPlaces = 1 << 16, kMostSlots = kMostPlaces * kSlot;
-constexpr std::size_t kLongest = 256;
 constexpr Millis kLongestLeft = 3600000;
 
 enum Flag { held = 1, yes = 2, young = 4, own = 8, need = 16 };
 
-std::optional<std::uint64_t> whole(const Json& json, std::uint64_t most) {
-  if (!json.is_number_unsigned() || json.get<std::uint64_t>() > most) return std::nullopt;
-  return json.get<std::uint64_t>();
-}
-
 }  // namespace
 
 std::string bytes_of(const Message& m) {
@@ -36,7 +31,7 @@
 }
 
 std::optional<Message> message_in(std::string_view bytes) {
-  if (!is_for_shares(bytes) || bytes.size() > kLongest) return std::nullopt;
+  if (!is_for_shares(bytes) || bytes.size() > membership::kLongest) return std::nullopt;
   const Json json = Json::from_cbor(bytes.begin() + 1, bytes.end(), true, false);
   if (!json.is_array() || json.size() != 12 || json[1] != kForm) return std::nullopt;
   constexpr auto k32 = std::numeric_limits<std::uint32_t>::max();
--- a/tests/shares_properties.cpp
+++ b/tests/shares_properties.cpp
@@ -27,15 +27,19 @@
                                    rc::gen::inRange(0, fronts), rc::gen::inRange(5, 2500));
 }
 
+membership::Charge brisk() {
+  membership::Charge charge;
+  charge.pace = 200, charge.time_out = 80;
+  return charge;
+}
+
 }  // namespace
 
 int main() {
   const bool sums = rc::check("the parts of all that live add up to the whole at most", [] {
     const int fronts = *rc::gen::inRange(2, 8);
     const auto struck = *rc::gen::container<std::vector<Fault>>(faults(fronts));
-    membership::Charge charge;
-    charge.pace = 200, charge.time_out = 80;
-    VirtualFleet fleet(fronts, charge, static_cast<std::uint64_t>(*rc::gen::inRange(1, 1000000)));
+    VirtualFleet fleet(fronts, brisk(), static_cast<std::uint64_t>(*rc::gen::inRange(1, 1000000)));
     shares::Charge share;
     share.fleet = fronts;
     fleet.share(share);
@@ -84,9 +88,7 @@
   });
   const bool use = rc::check("what the dead leave is in use soon, and theirs again when they are back", [] {
     const int fronts = *rc::gen::inRange(3, 9), dead = *rc::gen::inRange(1, (fronts + 1) / 2);
-    membership::Charge charge;
-    charge.pace = 200, charge.time_out = 80;
-    VirtualFleet fleet(fronts, charge, static_cast<std::uint64_t>(*rc::gen::inRange(1, 1000000)));
+    VirtualFleet fleet(fronts, brisk(), static_cast<std::uint64_t>(*rc::gen::inRange(1, 1000000)));
     shares::Charge share;
     share.fleet = fronts;
     fleet.share(share);
