Clients of the rig: a fatal error is an answer, a first op on a closed connection was turned away

Seen in plans with 740 ops/s and 90 sessions: 'an op is lost: its connection was ended with no answer ... front n0', while the front had said 53300 and closed (a connection beyond the clients' share), or had closed an idle connection whose op was asked again on a new one. At fault: broken() in rig/clients.cpp waited for ReadyForQuery behind a fatal error and took the first connection's 'taken' for the second's.

--- a/src/rig/clients.cpp
+++ b/src/rig/clients.cpp
@@ -66,7 +66,8 @@
   std::string held, out;
   std::array<char, 4096> bytes;
   std::size_t sent = 0;  // bytes, in all
-  bool welcomed = false, given_back = false, connected = false, has_value = false;
+  bool welcomed = false, given_back = false, has_value = false;
+  bool taken = false, used = false;  // taken: the op it has; used: an op was answered on it
   std::string code, value;
   std::shared_ptr<Op> op;
 };
@@ -179,7 +180,7 @@
 void Clients::write(const Connected& connection) {
   connection->out += pgwire::query(connection->op->text);
   connection->sent += connection->out.size();
-  connection->code.clear(), connection->value.clear(), connection->has_value = false;
+  connection->code.clear(), connection->value.clear(), connection->has_value = connection->taken = false;
   asio::async_write(connection->socket, asio::buffer(connection->out),
                     [this, connection](const asio::error_code& fault, std::size_t) {
                       if (connection->given_back) return;
@@ -193,6 +194,7 @@
   const Connected connection = found == ends_.end() ? nullptr : found->second.lock();
   if (!connection || !connection->op || passed.back || passed.given < connection->sent) return;
   Op& op = *connection->op;
+  connection->taken = true;
   if (std::exchange(op.taken, true)) return;
   rules_.note(rules::Taken{op.id,
                            {op.front},
@@ -252,19 +254,23 @@
       : busy                         ? Came::busy_replied
                                      : Came::errored,
       now);
+  connection->used = true;
   connection->session.idle.push_back(connection);
 }
 
 void Clients::broken(const Connected& connection) {
+  // A fatal error is an answer, and needs no ReadyForQuery behind it.
+  if (connection->op && !connection->code.empty()) answered(connection);
   const std::shared_ptr<Op> op = std::exchange(connection->op, nullptr);
   const auto crossing = streams_.crossing(connection->end);
   give_back(connection);
   if (!op) return;
   const Millis ended = crossing ? crossing->back.ended : -1, came = crossing ? crossing->to.written : -1;
   Session& session = *op->session;
-  if (op->taken && ended >= 0 && ended - came > kCrosses) {
+  // The first op on a connection that is closed at once was turned away with it.
+  if (connection->taken && connection->used && ended >= 0 && ended - came > kCrosses) {
     rules_.note(rules::Broken_off{op->id, ended});
-  } else if (ended >= 0 && op->taken && clock_.now() < op->meant + work_.op_timeout) {
+  } else if (connection->used && ended >= 0 && clock_.now() < op->meant + work_.op_timeout) {
     return ask(op);  // the front ended the connection before it can have read the op
   } else if (op->taken) {
     rules_.note(rules::Gone{op->id});
