--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,7 +74,8 @@
   };
   std::vector<Happened> happened_;
   std::vector<rules::Broken> broken_;
-  int most_ = 0;  // connections that any store had at once
+  std::set<int> over_;  // stores that had too many at the last look
+  int most_ = 0;        // connections that any store had at once
   std::vector<std::string> names_;
   int listed_;  // places that the lists have
   std::vector<std::unique_ptr<Process>> processes_;
