--- a/standins/world.cpp
+++ b/standins/world.cpp
@@ -89,10 +89,12 @@
 void World::revision(long long to) {
   on_loop([&] { revision_ = to; });
 }
-double World::position(int store) const {
-  double position = 0;
-  on_loop([&] { position = stores_.position(store); });
-  return position;
+std::vector<double> World::positions() const {
+  std::vector<double> positions;
+  on_loop([&] {
+    for (int store = 0; store < size(); ++store) positions.push_back(stores_.position(store));
+  });
+  return positions;
 }
 StoreState World::state(int store) const {
   StoreState state;
--- a/standins/world.hpp
+++ b/standins/world.hpp
@@ -39,8 +39,8 @@
   void revision(long long to);  // from here on
   // What begins as HTTP/2 at a store is passed on to this port, where a server of the test answers.
   void pass_http2(int store, int port);
-  // Where a replica truly stands now.
-  double position(int store) const;
+  // Where each store truly stands now.
+  std::vector<double> positions() const;
   StoreState state(int store) const;
   long long probes() const;
 
--- a/tests/proxies.cpp
+++ b/tests/proxies.cpp
@@ -398,6 +398,7 @@
     }
     if (turn == 4000) kill(service.pid(), SIGSTOP);  // nothing more is heard of us
     if (turn == 9000) kill(service.pid(), SIGCONT);
+    const std::vector<double> positions = world.positions();
     for (std::size_t i = 0; i < proxies.size(); ++i) {
       const double now = now_ms();
       auto to = proxies[i]->pick("group-0.within-1500ms", now, turn);
@@ -410,7 +411,7 @@
       }
       const int store = stores.at(to->address);
       on_replicas += store != 0;
-      too_old += now - world.position(store) > 1500;
+      too_old += now - positions[static_cast<std::size_t>(store)] > 1500;
     }
     std::this_thread::sleep_for(std::chrono::microseconds(300));
   }
