--- a/models/check.sh
+++ b/models/check.sh
@@ -18,4 +18,4 @@
 }
 search 1 0 9 0 && search 2 0 9 0 && search 3 0 8 0 &&
   search 1 1 8 1 && search 1 2 8 1 && search 1 6 8 1 && search 1 7 8 1 &&
-  search 2 3 8 1 && search 2 5 8 1 && search 3 4 7 1
+  search 2 3 8 1 && search 2 5 8 1 && search 2 8 8 1 && search 3 4 7 1
--- a/models/shares.pml
+++ b/models/shares.pml
@@ -194,7 +194,12 @@
        if :: k = 0 :: k = 1 :: k = 2 fi;
        answer_to[k] != 0 ->
        if
-       :: up[k] && asked_at[k] == answer_to[k] && answer_to[k] + answer_for[k] > tick -> has[k] = answer_to[k] + answer_for[k]
+       :: up[k] && asked_at[k] == answer_to[k] && answer_to[k] + answer_for[k] > tick ->
+#if MUTANT == 8 /* what is handed out counts from when the answer came */
+          has[k] = tick + answer_for[k]
+#else
+          has[k] = answer_to[k] + answer_for[k]
+#endif
        :: else
        fi;
        answer_to[k] = 0
