Read once more: derived gates, dead members and a mark that nothing read are gone from the rig

Surroundings kept a table of gates that front and store already say (they are opened in that order, as its callers knew); Rules had a mark of excused ops that came too late to be read, for such an op has ended; Relay and Discovery held the loop and Stores a mark for nothing.

--- a/src/rig/discovery.cpp
+++ b/src/rig/discovery.cpp
@@ -23,12 +23,7 @@
 
 Discovery::Discovery(asio::io_context& io, links::Timers& timers, const links::Clock& clock,
                      const Tcp::endpoint& at, Ask ask, Written written)
-    : io_(io),
-      timers_(timers),
-      clock_(clock),
-      acceptor_(io, at),
-      ask_(std::move(ask)),
-      written_(std::move(written)) {
+    : timers_(timers), clock_(clock), acceptor_(io, at), ask_(std::move(ask)), written_(std::move(written)) {
   accept();
 }
 
--- a/src/rig/discovery.hpp
+++ b/src/rig/discovery.hpp
@@ -41,7 +41,6 @@
   void take(const Linked& link, const std::string& line);
   void answer(const Linked& link, const std::string& body, long long revision);
 
-  asio::io_context& io_;
   links::Timers& timers_;
   const links::Clock& clock_;
   asio::ip::tcp::acceptor acceptor_;
--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -24,8 +24,7 @@
 
 Relay::Relay(asio::io_context& io, links::Timers& timers, const links::Clock& clock,
              std::vector<Endpoint> fronts, std::vector<Endpoint> stands, std::uint64_t seed)
-    : io_(io),
-      timers_(timers),
+    : timers_(timers),
       clock_(clock),
       fronts_(std::move(fronts)),
       random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
--- a/src/rig/relay.hpp
+++ b/src/rig/relay.hpp
@@ -60,7 +60,6 @@
   }
   double chance() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }
 
-  asio::io_context& io_;
   links::Timers& timers_;
   const links::Clock& clock_;
   const std::vector<Endpoint> fronts_;
--- a/src/rig/stores.cpp
+++ b/src/rig/stores.cpp
@@ -51,7 +51,7 @@
   Tcp::endpoint from;
   std::string held, out, writing;
   std::array<char, 4096> bytes;
-  bool started = false, passed_on = false;
+  bool started = false;
 };
 
 struct Stores::Job {
@@ -272,7 +272,6 @@
 
 void Stores::pass_on(const Connected& connection, int port) {
   const auto other = std::make_shared<Connection>(connection->place, Tcp::socket(io_));
-  connection->passed_on = other->passed_on = true;
   other->writing = std::exchange(connection->held, "");
   const Tcp::endpoint to(asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port));
   other->socket.async_connect(to, [this, connection, other](const asio::error_code& fault) {
--- a/src/rig/surroundings.cpp
+++ b/src/rig/surroundings.cpp
@@ -104,16 +104,14 @@
           if (underway_.size() > kUnderway) underway_.erase(underway_.begin());
           underway_[to].push_back({bytes, front, listed()});
         }));
-    std::vector<int>& gates = gates_.emplace_back();
     std::vector<Endpoint>& seen = seen_at_.emplace_back();
     for (int store = 0; store < plan.stores; ++store) {
       seen.push_back(own(kGates, front * each() + store));
-      gates.push_back(streams_.open(seen.back(), stores_.at(store)));
+      streams_.open(seen.back(), stores_.at(store));
     }
     seen.push_back(own(kGates, front * each() + plan.stores));
-    gates.push_back(streams_.open(seen.back(), agents_.back()->at()));
-    gates.push_back(
-        streams_.open(met_at_[static_cast<std::size_t>(front)], fronts[static_cast<std::size_t>(front)]));
+    streams_.open(seen.back(), agents_.back()->at());
+    streams_.open(met_at_[static_cast<std::size_t>(front)], fronts[static_cast<std::size_t>(front)]);
   }
   stores_.on([this](const Carried_out& done) { carried_out(done); },
              [this](int store, const std::string& op, const Endpoint& from) {
--- a/src/rig/surroundings.hpp
+++ b/src/rig/surroundings.hpp
@@ -60,9 +60,8 @@
   void ways(const Step& step, Change change);
   std::vector<int> gates(const Step& step) const;
   int each() const { return plan_.stores + 2; }  // gates of a front
-  int gate(int front, int other) const {
-    return gates_[static_cast<std::size_t>(front)][static_cast<std::size_t>(other)];
-  }
+  // As they were opened: to the stores, to discovery, from clients.
+  int gate(int front, int other) const { return front * each() + other; }
 
   const Plan& plan_;
   const links::Clock& clock_;
@@ -70,7 +69,6 @@
   Streams streams_;
   Stores stores_;
   std::vector<std::unique_ptr<Discovery>> agents_;
-  std::vector<std::vector<int>> gates_;         // of each front: to stores, to discovery, from clients
   std::vector<std::vector<Endpoint>> seen_at_;  // of each front: where it meets stores and discovery
   std::vector<Endpoint> met_at_;                // where clients meet each front
   Clients clients_;
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -56,7 +56,7 @@
 
 void Rules::take(const Taken& taken) {
   if (ops_.contains(taken.op)) return;
-  ops_[taken.op] = {taken, taken.at + taken.patience, -1, 0, 0, false, {}};
+  ops_[taken.op] = {taken, taken.at + taken.patience, -1, 0, 0, {}};
   open_.insert(taken.op);
 }
 
@@ -137,7 +137,7 @@
   if (answered.answer == Answer::acked && !answered.mine)
     broken(Rule::lost, answered.op, op.taken.front, {}, answered.at, "acked with what no store made for it");
   if (op.ended >= 0) return;
-  if (!op.excused && answered.at > op.until + terms_.slack)
+  if (answered.at > op.until + terms_.slack)
     broken(Rule::lost, answered.op, op.taken.front, {}, answered.at,
            fmt::format("answered {:.0f} ms late", answered.at - op.until));
   end(op, answered.at);
@@ -164,7 +164,7 @@
 
 void Rules::take(const Down& down) {
   for (const std::string& id : std::set<std::string>(open_))
-    if (Op& op = ops_.at(id); op.taken.front == down.front) op.excused = true, end(op, now_);
+    if (Op& op = ops_.at(id); op.taken.front == down.front) end(op, now_);
   told_.erase(down.front);
   paused_.erase(down.front);
 }
--- a/src/rules/rules.hpp
+++ b/src/rules/rules.hpp
@@ -127,7 +127,6 @@
     Millis until = 0;  // by when it needs its answer
     Millis ended = -1;
     int answers = 0, effects = 0;
-    bool excused = false;
     std::vector<Sent> sends;
   };
   struct Listing {
