--- /dev/null
+++ b/src/accord/accord.hpp
@@ -0,0 +1,99 @@
+// How far this front agrees with its fellows on what it acts on, and whether it is cut off from all that
+// could tell it otherwise. Free of I/O: events in, decisions out. docs/design-accord.md says what was
+// weighed.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "accord/message.hpp"
+
+namespace reedspindle::accord {
+
+struct Charge {
+  Place place;
+  Millis pace = 1000;      // between two questions to a fellow
+  Millis grace = 3000;     // that a difference may last before it is told of: news takes its time
+  Millis silence = 10000;  // without contact, after which this front holds itself cut off
+  // After the last contact, how long it still sends what only a primary may answer, and reads.
+  Millis writes_for = std::numeric_limits<Millis>::infinity();
+  Millis reads_for = std::numeric_limits<Millis>::infinity();
+};
+
+// Events.
+struct Heard {
+  Place from;
+  std::string bytes;
+};
+// Who is there in the membership's eyes, without this front, and how many count as the fleet: those that are
+// known to have ended don't.
+struct Fellows {
+  std::set<Place> there;
+  int counted = 1;
+};
+// What this front acts on from now on.
+struct Acts {
+  Account account;
+};
+// Discovery has answered this front.
+struct Confirmed {};
+using Event = std::variant<Heard, Fellows, Acts, Confirmed>;
+
+// Decisions.
+struct Tell {
+  Place to;
+  std::string bytes;
+};
+struct WakeAt {
+  Millis at = 0;
+};
+enum class Finding { differs, agrees, cut_off, in_touch, turns_writes_away, turns_reads_away };
+const char* word_of(Finding finding);
+struct Found {
+  Finding finding = Finding::differs;
+  Matter matter = Matter::list;  // differs, agrees
+  Place place;                   // differs: the fellow that was first seen to
+  Account mine, theirs;          // differs: as it began
+  Millis span = 0;               // since it began
+};
+// What may be sent.
+struct Allowed {
+  bool writes = true, reads = true;
+  bool operator==(const Allowed&) const = default;
+};
+using Decision = std::variant<Tell, WakeAt, Found, Allowed>;
+
+// Of one matter: over the fellows whose word is recent, at most kMostHeld of them. Where the fleet is larger
+// that is a sample, and the share of those that differ has a standard error of sqrt(p (1 - p) / compared).
+struct Difference {
+  int differ = 0, compared = 0;
+  Millis since = 0;  // 0: none
+  Place first;
+  bool behind = false;  // list: a fellow has a later one
+};
+struct View {
+  std::array<Difference, kMatters> differences;
+  Millis contact = 0;  // when there was contact last
+  bool cut_off = false;
+  Allowed allowed;
+  std::uint64_t dropped = 0;  // datagrams that did not read, or are not believed
+};
+constexpr std::size_t kMostHeld = 64;
+
+class Accord {
+ public:
+  virtual ~Accord() = default;
+  virtual void note(Event event) = 0;
+  virtual std::vector<Decision> settle(Millis now) = 0;
+  virtual View view() const = 0;
+};
+
+std::unique_ptr<Accord> make_accord(const Charge& charge, std::uint64_t seed);
+
+}  // namespace reedspindle::accord
--- /dev/null
+++ b/src/accord/account.hpp
@@ -0,0 +1,34 @@
+// What a front acts on, as sums that compare: equal sums are taken for equal content (32 bits of XXH3: two
+// different contents have one sum once in four billion). Endpoints are left out, for each front may reach a
+// member by an address of its own.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include "accord/message.hpp"
+
+namespace reedspindle::accord {
+
+// The list as it stands after all that discovery has said.
+class ListHeld {
+ public:
+  void learn(ListKind kind, std::uint64_t revision, const std::vector<ListedMember>& members);
+  std::uint64_t revision() const { return revision_; }
+  std::uint32_t sum() const { return sum_; }
+
+ private:
+  // Who is on it and not gone: group, whether it drains, since when it is up.
+  std::map<MemberId, std::tuple<int, bool, Millis>> held_;
+  std::uint64_t revision_ = 0;
+  std::uint32_t sum_ = 0;
+};
+
+std::uint32_t sum_of_primaries(const std::vector<MemberView>& members);
+// Who is there, this front included.
+std::uint32_t sum_of_view(const std::set<Place>& there, Place self);
+
+}  // namespace reedspindle::accord
--- /dev/null
+++ b/src/accord/message.cpp
@@ -0,0 +1,67 @@
+#include "accord/message.hpp"
+
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace reedspindle::accord {
+namespace {
+
+using Json = nlohmann::json;
+using membership::whole;
+
+constexpr char kLetter = 'A';
+constexpr int kForm = 1;
+constexpr std::size_t kFields = 9;
+constexpr std::uint64_t kMostPlaces = 1 << 16;
+constexpr Millis kOldest = 86400000;  // a day; what is older is not known
+
+}  // namespace
+
+const char* word_of(Matter matter) {
+  constexpr const char* words[] = {"list", "primaries", "view"};
+  return words[static_cast<int>(matter)];
+}
+
+std::string bytes_of(const Message& m) {
+  const auto& sums = m.account.sums;
+  const double age = m.word_age <= kOldest ? m.word_age : -1;
+  const Json json = {kForm,
+                     static_cast<int>(m.kind),
+                     m.number,
+                     m.place.number,
+                     m.account.revision,
+                     sums[0],
+                     sums[1],
+                     sums[2],
+                     age};
+  const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+  return std::string(1, kLetter) + std::string(bytes.begin(), bytes.end());
+}
+
+std::optional<Message> message_in(std::string_view bytes) {
+  if (!is_for_accord(bytes) || bytes.size() > membership::kLongest) return std::nullopt;
+  const Json json = Json::from_cbor(bytes.begin() + 1, bytes.end(), true, false);
+  if (!json.is_array() || json.size() != kFields || json[0] != kForm || !json[8].is_number())
+    return std::nullopt;
+  constexpr std::uint64_t k32 = std::numeric_limits<std::uint32_t>::max();
+  const auto kind = whole(json[1], 1), number = whole(json[2], k32), place = whole(json[3], kMostPlaces - 1),
+             revision = whole(json[4], std::numeric_limits<std::uint64_t>::max() >> 1);
+  if (!kind || !number || !place || !revision) return std::nullopt;
+  Message m;
+  for (std::size_t at = 0; at < kMatters; ++at) {
+    const auto sum = whole(json[5 + at], k32);
+    if (!sum) return std::nullopt;
+    m.account.sums[at] = static_cast<std::uint32_t>(*sum);
+  }
+  m.word_age = json[8].get<double>();
+  if (!std::isfinite(m.word_age) || m.word_age > kOldest || (m.word_age < 0 && m.word_age != -1))
+    return std::nullopt;
+  m.kind = static_cast<Kind>(*kind), m.number = static_cast<std::uint32_t>(*number);
+  m.place = {static_cast<int>(*place)}, m.account.revision = *revision;
+  return m;
+}
+
+bool is_for_accord(std::string_view bytes) { return !bytes.empty() && bytes[0] == kLetter; }
+
+}  // namespace reedspindle::accord
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -12,7 +12,11 @@
 
 Front::Front(Environment environment, const Orders& orders)
     : environment_(std::move(environment)),
-      placement_(read_placement(environment_)),
+      placement_([&] {
+        Placement placement = read_placement(environment_);
+        placement.values.insert(orders.values.begin(), orders.values.end());
+        return placement;
+      }()),
       clock_(orders.clock_offset),
       log_(clock_),
       io_(1),
@@ -30,7 +34,11 @@
         noted_.push_back({PeerSpoke{peer, std::move(text)}});
       }) {
   log_.be(orders.log);
-  if (orders.fleet) tier_.emplace(timers_, clock_, log_, placement_, *orders.fleet, peers_, members_);
+  if (orders.fleet)
+    tier_.emplace(
+        timers_, clock_, log_, placement_, *orders.fleet, peers_, members_,
+        [this](AmongPeers among) { noted_.push_back({std::move(among)}); },
+        [this] { return router_->view(); });
 }
 
 void Front::run() {
@@ -120,6 +128,7 @@
 
 void Front::list_read(StoreList list) {
   members_.learn(list);
+  if (tier_) tier_->list_read(list);
   ListRead read{list.kind, {}};
   for (ListedStore& store : list.stores) {
     groups_.insert(store.entry.group);
--- a/src/front/orders.cpp
+++ b/src/front/orders.cpp
@@ -40,6 +40,17 @@
     if (shares::connections_of({charge.kept, charge.kept}, charge, fleet.connections).open < 1)
       faulty("connections", "enough that each front keeps one at least (connections x kept / fleet)");
   }
+  if (told.contains("accord")) {
+    const nlohmann::json& of = told["accord"];
+    accord::Charge& charge = fleet.accord.emplace();
+    charge.pace = of["pace"], charge.grace = of["grace"], charge.silence = of["silence"];
+    charge.writes_for = of.value("writes-for", charge.writes_for);
+    charge.reads_for = of.value("reads-for", charge.reads_for);
+  }
+  if (told.contains("resends")) {
+    orders.values["resends.share"] = told["resends"]["share"].get<double>();
+    orders.values["resends.burst"] = told["resends"]["burst"].get<double>();
+  }
   if (told.contains("place")) fleet.place = told["place"].get<int>();
   fleet.status = told.value("status", "");
   orders.fleet = std::move(fleet);
--- a/src/front/orders.hpp
+++ b/src/front/orders.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "accord/accord.hpp"
 #include "links/log.hpp"
 #include "links/placement.hpp"
 #include "membership/membership.hpp"
@@ -19,11 +20,13 @@
   std::string status;                    // a file; empty: none
   std::optional<shares::Charge> shares;  // its place comes with the membership's
   int connections = 0;                   // that one store takes from all fronts together
+  std::optional<accord::Charge> accord;  // its place comes with the membership's
 };
 struct Orders {
   links::LogManner log;
   Millis clock_offset = 0;
   std::optional<Fleet> fleet;
+  Values values;  // for the module, beside the placement's
 };
 
 // Throws operators::Faulty.
--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -8,9 +8,6 @@
 #include <cerrno>
 #include <utility>
 
-#include "membership/message.hpp"
-#include "shares/message.hpp"
-
 namespace reedspindle::front {
 
 constexpr std::size_t kLongest = 256;  // the protocol's limit on a datagram
@@ -42,8 +39,8 @@
   }
 }
 
-void Peers::hand_over_shares(Heard heard, Heard refused) {
-  shares_ = std::move(heard), refused_ = std::move(refused);
+void Peers::on_refusals(Heard refused) {
+  refused_ = std::move(refused);
   if (!socket_.is_open()) return;
   const int on = 1;
   setsockopt(socket_.native_handle(), IPPROTO_IP, IP_RECVERR, &on, sizeof on);
@@ -93,11 +90,10 @@
         const auto peer = std::ranges::find(peers_, sender_);
         if (!fault && count <= kLongest && peer != peers_.end()) {
           std::string text(bytes_.data(), count);
-          const bool membership = membership_ && membership::is_for_membership(text);
-          const bool shares = shares_ && shares::is_for_shares(text);
-          (membership ? membership_
-           : shares   ? shares_
-                      : heard_)(static_cast<int>(peer - peers_.begin()), std::move(text));
+          const auto taker =
+              std::ranges::find_if(handed_over_, [&text](const auto& item) { return item.first(text); });
+          (taker == handed_over_.end() ? heard_ : taker->second)(static_cast<int>(peer - peers_.begin()),
+                                                                 std::move(text));
         }
         listen();
       });
--- a/src/front/peers.hpp
+++ b/src/front/peers.hpp
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,10 +24,11 @@
   void tell(const std::string& text);
   // To one front, by its place in the list.
   void tell(int peer, const std::string& bytes);
-  // From now on the membership's datagrams go there.
-  void hand_over(Heard heard) { membership_ = std::move(heard); }
-  // From now on those on shares go there, and as much as comes back of one where nobody listens.
-  void hand_over_shares(Heard heard, Heard refused);
+  // From now on datagrams of that kind go there instead.
+  using Kind = bool (*)(std::string_view bytes);
+  void hand_over(Kind kind, Heard heard) { handed_over_.emplace_back(kind, std::move(heard)); }
+  // From now on as much as comes back of a datagram where nobody listens goes there.
+  void on_refusals(Heard refused);
   // The list has changed: who stands where, and who is believed.
   void learn(std::vector<asio::ip::udp::endpoint> peers) { peers_ = std::move(peers); }
   void stop();
@@ -38,7 +40,8 @@
   Log& log_;
   const Placement& placement_;
   const Heard heard_;
-  Heard membership_, shares_, refused_;  // none: it is off
+  std::vector<std::pair<Kind, Heard>> handed_over_;
+  Heard refused_;  // none: nobody asks
   std::vector<asio::ip::udp::endpoint> peers_;
   asio::ip::udp::socket socket_;
   asio::ip::udp::endpoint sender_;
--- a/src/front/tier.cpp
+++ b/src/front/tier.cpp
@@ -1,5 +1,6 @@
 #include "front/tier.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <fstream>
@@ -15,7 +16,7 @@
 }  // namespace
 
 Tier::Tier(Timers& timers, const Clock& clock, Log& log, const Placement& placement, const Fleet& fleet,
-           Peers& peers, Members& members)
+           Peers& peers, Members& members, Among among, Steered steered)
     : timers_(timers),
       clock_(clock),
       log_(log),
@@ -23,57 +24,142 @@
       members_(members),
       path_(fleet.status),
       charge_(charge_of(fleet, placement)),
-      membership_(membership::make_membership(charge_, placement.seed)),
+      membership_{membership::make_membership(charge_, placement.seed), {}},
       sharing_(fleet.shares),
-      connections_(fleet.connections) {
-  peers_.hand_over([this](int peer, std::string bytes) {
+      connections_(fleet.connections),
+      acts_pace_(fleet.accord ? fleet.accord->pace : 0),
+      among_(std::move(among)),
+      steered_(std::move(steered)),
+      places_(charge_.places) {
+  peers_.hand_over(membership::is_for_membership, [this](int peer, std::string bytes) {
     settle(membership::Heard{{peer}, std::move(bytes)});
   });
+  if (fleet.accord) {
+    accord::Charge charge = *fleet.accord;
+    charge.place = charge_.place;
+    accord_.core = accord::make_accord(charge, placement.seed);
+    peers_.hand_over(accord::is_for_accord, [this](int peer, std::string bytes) {
+      compare(accord::Heard{{peer}, std::move(bytes)});
+    });
+  }
   if (sharing_) {
     sharing_->place = charge_.place;
-    shares_ = shares::make_shares(*sharing_, placement.seed);
+    shares_.core = shares::make_shares(*sharing_, placement.seed);
     use_.emplace(*sharing_, connections_);
-    peers_.hand_over_shares(
-        [this](int peer, std::string bytes) {
-          share(shares::Heard{{peer}, std::move(bytes)});
-        },
-        [this](int peer, std::string bytes) {
-          share(shares::Refused{{peer}, std::move(bytes)});
-        });
+    peers_.hand_over(shares::is_for_shares, [this](int peer, std::string bytes) {
+      share(shares::Heard{{peer}, std::move(bytes)});
+    });
+    peers_.on_refusals([this](int peer, std::string bytes) {
+      share(shares::Refused{{peer}, std::move(bytes)});
+    });
     share(std::nullopt);
     tell_need();
   }
   settle(std::nullopt);
+  tell_fellows();
+  tell_acts();
   write_status();
 }
 
-void Tier::listed(int places) { settle(membership::Listed{places}); }
+void Tier::listed(int places) {
+  places_ = places;
+  settle(membership::Listed{places});
+  tell_fellows();
+}
+
+void Tier::list_read(const StoreList& list) {
+  if (!accord_.core || list.kind == ListKind::failed) return;
+  std::vector<ListedMember> entries;
+  for (const ListedStore& store : list.stores) entries.push_back(store.entry);
+  list_.learn(list.kind, static_cast<std::uint64_t>(std::max(0LL, list.revision)), entries);
+  if (list.kind != ListKind::saved) compare(accord::Confirmed{});
+}
 
 void Tier::leave() { settle(membership::Leaving{}); }
 
 void Tier::stop() {
   // Its connections to stores are closed by now.
-  if (shares_) share(shares::Leaving{});
-  timers_.drop(shares_wake_);
-  timers_.drop(need_);
-  timers_.drop(wake_);
-  timers_.drop(write_);
+  if (shares_.core) share(shares::Leaving{});
+  for (auto* timer : {&shares_.wake, &need_, &membership_.wake, &accord_.wake, &acts_, &write_})
+    timers_.drop(*timer);
   write_status();
   timers_.drop(write_);
 }
 
+// What one has decided: datagrams and its next turn are alike for all of them.
+template <typename Core>
+void Tier::turn(Driven<Core>& driven) {
+  for (const auto& decision : driven.core->settle(clock_.now()))
+    std::visit(
+        [&](const auto& taken) {
+          if constexpr (requires { taken.to, taken.bytes; }) {
+            peers_.tell(taken.to.number, taken.bytes);
+          } else if constexpr (requires { taken.at; }) {
+            timers_.drop(driven.wake);
+            driven.wake = timers_.set(taken.at, [this, &driven] { driven.wake.reset(), turn(driven); });
+          } else {
+            carry_out(taken);
+          }
+        },
+        decision);
+  if (!std::exchange(changed_, false)) return;
+  write_later();
+  tell_fellows();
+}
+
 void Tier::settle(std::optional<membership::Event> event) {
-  if (event) membership_->note(std::move(*event));
-  changed_ = false;
-  for (const membership::Decision& decision : membership_->settle(clock_.now()))
-    std::visit([this](const auto& taken) { carry_out(taken); }, decision);
-  if (!changed_) return;
+  if (event) membership_.core->note(std::move(*event));
+  turn(membership_);
+}
+
+void Tier::share(std::optional<shares::Event> event) {
+  if (event) shares_.core->note(std::move(*event));
+  turn(shares_);
+}
+
+void Tier::compare(std::optional<accord::Event> event) {
+  if (event) accord_.core->note(std::move(*event));
+  turn(accord_);
+}
+
+std::set<membership::Place> Tier::there() const {
+  std::set<membership::Place> there;
+  for (const membership::FellowView& fellow : membership_.core->view().fellows)
+    if (fellow.standing == membership::Standing::there) there.insert(fellow.place);
+  return there;
+}
+
+// The membership's view has changed, or how many count.
+void Tier::tell_fellows() {
+  const std::set<membership::Place> there = this->there();
+  if (shares_.core) share(shares::Fellows{there});
+  if (accord_.core) compare(accord::Fellows{there, shares_.core ? part_.among : places_});
+  tell_module();
+}
+
+// What this front acts on, looked at once a pace.
+void Tier::tell_acts() {
+  if (!accord_.core) return;
+  accord::Account account;
+  account.revision = list_.revision();
+  account.sums = {list_.sum(), accord::sum_of_primaries(steered_()),
+                  accord::sum_of_view(there(), charge_.place)};
+  compare(accord::Acts{account});
   write_later();
-  if (!shares_) return;
-  shares::Fellows fellows;
-  for (const membership::FellowView& fellow : membership_->view().fellows)
-    if (fellow.standing == membership::Standing::there) fellows.there.insert(fellow.place);
-  share(std::move(fellows));
+  acts_ = timers_.set(clock_.now() + acts_pace_, [this] { acts_.reset(), tell_acts(); });
+}
+
+// Without an accord the module goes by what it hears, as ever.
+void Tier::tell_module() {
+  if (!accord_.core) return;
+  AmongPeers among;
+  for (const membership::Place place : there()) among.there.insert(place.number);
+  if (shares_.core) among.of_all = static_cast<double>(part_.among) / sharing_->fleet;
+  const accord::Allowed allowed = accord_.core->view().allowed;
+  among.writes = allowed.writes, among.reads = allowed.reads;
+  if (among == told_) return;
+  told_ = among;
+  among_(std::move(among));
 }
 
 void Tier::write_later() {
@@ -83,14 +169,9 @@
       timers_.set(std::max(clock_.now(), written_ + kWriteAfter), [this] { write_.reset(), write_status(); });
 }
 
-void Tier::share(std::optional<shares::Event> event) {
-  if (event) shares_->note(std::move(*event));
-  for (const shares::Decision& decision : shares_->settle(clock_.now()))
-    std::visit([this](const auto& taken) { carry_out(taken); }, decision);
-}
-
 void Tier::look() {
-  if (shares_ && shares::connections_of(shares_->part(clock_.now()), *sharing_, connections_) != limit_)
+  if (shares_.core &&
+      shares::connections_of(shares_.core->part(clock_.now()), *sharing_, connections_) != limit_)
     share(std::nullopt);
 }
 
@@ -102,13 +183,6 @@
   });
 }
 
-void Tier::carry_out(const shares::Tell& decision) { peers_.tell(decision.to.number, decision.bytes); }
-
-void Tier::carry_out(const shares::WakeAt& decision) {
-  timers_.drop(shares_wake_);
-  shares_wake_ = timers_.set(decision.at, [this] { shares_wake_.reset(), share(std::nullopt); });
-}
-
 void Tier::carry_out(const shares::Found& decision) {
   const bool warns = decision.finding == shares::Finding::other_terms;
   (warns ? log_.warn("shares", word_of(decision.finding), {{"place", decision.place.number}})
@@ -116,19 +190,44 @@
 }
 
 void Tier::carry_out(const shares::Changed& decision) {
+  const bool counts = part_.among != decision.part.among;
+  part_ = decision.part;
   limit_ = shares::connections_of(decision.part, *sharing_, connections_);
   members_.limit(limit_.open, limit_.hold);
   log_.debug("shares", "part", {{"open", decision.part.open}, {"hold", decision.part.hold}});
+  if (counts && accord_.core) {
+    compare(accord::Fellows{there(), part_.among});
+    tell_module();
+  }
   write_later();
 }
 
-void Tier::carry_out(const membership::Tell& decision) { peers_.tell(decision.to.number, decision.bytes); }
-
-void Tier::carry_out(const membership::WakeAt& decision) {
-  timers_.drop(wake_);
-  wake_ = timers_.set(decision.at, [this] { wake_.reset(), settle(std::nullopt); });
+void Tier::carry_out(const accord::Found& decision) {
+  using accord::Finding;
+  write_later();
+  const long long ms = std::llround(decision.span);
+  const char* event = word_of(decision.finding);
+  switch (decision.finding) {
+    case Finding::differs:
+      return log_.warn("accord", event,
+                       {{"in", word_of(decision.matter)},
+                        {"first", decision.place.number},
+                        {"ms", ms},
+                        {"mine", decision.mine.of(decision.matter)},
+                        {"theirs", decision.theirs.of(decision.matter)},
+                        {"my_revision", decision.mine.revision},
+                        {"their_revision", decision.theirs.revision}});
+    case Finding::agrees:
+      return log_.info("accord", event, {{"in", word_of(decision.matter)}, {"ms", ms}});
+    case Finding::in_touch:
+      return log_.info("accord", event, {{"ms", ms}});
+    default:
+      return log_.warn("accord", event, {{"ms", ms}});
+  }
 }
 
+void Tier::carry_out(const accord::Allowed&) { tell_module(); }
+
 void Tier::carry_out(const membership::Change& decision) {
   changed_ = true;
   log_.info("fleet", word_of(decision.happening),
@@ -156,7 +255,7 @@
 }
 
 std::string Tier::status() const {
-  const membership::View view = membership_->view();
+  const membership::View view = membership_.core->view();
   nlohmann::json fellows = nlohmann::json::array();
   for (const membership::FellowView& fellow : view.fellows)
     fellows.push_back({{"name", fellow.name},
@@ -165,11 +264,29 @@
                        {"incarnation", fellow.incarnation.number},
                        {"since", std::llround(fellow.since)}});
   nlohmann::json shares;
-  if (shares_) {
-    const shares::View shared = shares_->view();
-    shares = {{"open", shared.part.open}, {"hold", shared.part.hold},       {"connections", limit_.hold},
-              {"office", shared.office},  {"holder", shared.holder.number}, {"pool", shared.pool},
-              {"given", shared.given},    {"dropped", shared.dropped}};
+  if (shares_.core) {
+    const shares::View shared = shares_.core->view();
+    shares = {{"open", shared.part.open},   {"hold", shared.part.hold}, {"connections", limit_.hold},
+              {"among", shared.part.among}, {"office", shared.office},  {"holder", shared.holder.number},
+              {"pool", shared.pool},        {"given", shared.given},    {"dropped", shared.dropped}};
+  }
+  nlohmann::json accord;
+  if (accord_.core) {
+    const accord::View compared = accord_.core->view();
+    accord = {{"contact", std::llround(compared.contact)},
+              {"cut_off", compared.cut_off},
+              {"writes", compared.allowed.writes},
+              {"reads", compared.allowed.reads},
+              {"dropped", compared.dropped},
+              {"revision", list_.revision()}};
+    for (int matter = 0; matter < accord::kMatters; ++matter) {
+      const accord::Difference& difference = compared.differences[static_cast<std::size_t>(matter)];
+      accord[word_of(static_cast<accord::Matter>(matter))] = {{"differ", difference.differ},
+                                                              {"compared", difference.compared},
+                                                              {"since", std::llround(difference.since)},
+                                                              {"first", difference.first.number},
+                                                              {"behind", difference.behind}};
+    }
   }
   return nlohmann::json{{"name", charge_.name},
                         {"place", charge_.place.number},
@@ -180,6 +297,7 @@
                         {"yielded", view.yielded},
                         {"fellows", std::move(fellows)},
                         {"shares", std::move(shares)},
+                        {"accord", std::move(accord)},
                         {"dropped",
                          {{"unread", view.dropped.unread},
                           {"strange", view.dropped.strange},
--- a/src/front/tier.hpp
+++ b/src/front/tier.hpp
@@ -1,14 +1,18 @@
-// The membership and the shares on the peers' socket: their datagrams, timers, words in the log, and the
-// status file.
+// The membership, the shares and the accord on the peers' socket: their datagrams, timers, words in the log,
+// and the status file.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
+#include "accord/account.hpp"
 #include "front/orders.hpp"
 #include "front/peers.hpp"
 #include "links/clock.hpp"
+#include "links/list.hpp"
 #include "links/log.hpp"
 #include "links/members.hpp"
 #include "shares/use.hpp"
@@ -17,11 +21,16 @@
 
 class Tier {
  public:
+  using Among = std::function<void(AmongPeers)>;
+  using Steered = std::function<std::vector<MemberView>()>;  // what the decision module holds true
+
   // Throws Malformed.
   Tier(Timers& timers, const Clock& clock, Log& log, const Placement& placement, const Fleet& fleet,
-       Peers& peers, Members& members);
+       Peers& peers, Members& members, Among among, Steered steered);
 
   void listed(int places);
+  // Discovery's list, as it came.
+  void list_read(const StoreList& list);
   // Before anything is sent: what this front was given may have ended while it stood still.
   void look();
   // Told to the fellows at once; the front may take a while to end.
@@ -29,17 +38,28 @@
   void stop();
 
  private:
+  // One that decides, with its timer.
+  template <typename Core>
+  struct Driven {
+    std::unique_ptr<Core> core;  // none: it is off
+    std::optional<Timers::Handle> wake;
+  };
+  template <typename Core>
+  void turn(Driven<Core>& driven);
   void settle(std::optional<membership::Event> event);
-  void carry_out(const membership::Tell& decision);
-  void carry_out(const membership::WakeAt& decision);
   void carry_out(const membership::Change& decision);
   void carry_out(const membership::Found& decision);
   void share(std::optional<shares::Event> event);
-  void carry_out(const shares::Tell& decision);
-  void carry_out(const shares::WakeAt& decision);
   void carry_out(const shares::Found& decision);
   void carry_out(const shares::Changed& decision);
+  void compare(std::optional<accord::Event> event);
+  void carry_out(const accord::Found& decision);
+  void carry_out(const accord::Allowed& decision);
+  std::set<membership::Place> there() const;
   void tell_need();
+  void tell_acts();
+  void tell_fellows();
+  void tell_module();
   void write_later();
   void write_status();
   std::string status() const;
@@ -51,15 +71,23 @@
   Members& members_;
   const std::string path_;
   const membership::Charge charge_;
-  std::unique_ptr<membership::Membership> membership_;
+  Driven<membership::Membership> membership_;
   std::optional<shares::Charge> sharing_;  // none: each store may be used as it comes
   const int connections_;
-  std::unique_ptr<shares::Shares> shares_;
+  Driven<shares::Shares> shares_;
   std::optional<shares::Use> use_;
+  shares::Part part_;
   shares::Connections limit_;
-  std::optional<Timers::Handle> wake_, write_, shares_wake_, need_;
+  Driven<accord::Accord> accord_;
+  const Millis acts_pace_;
+  const Among among_;
+  const Steered steered_;
+  accord::ListHeld list_;
+  int places_;
+  AmongPeers told_;  // the module
+  std::optional<Timers::Handle> write_, need_, acts_;
   Millis written_ = 0;
-  bool changed_ = false;  // since the last settle, what the status file says
+  bool changed_ = false;  // the membership's view, within a turn
 };
 
 }  // namespace reedspindle::front
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,11 +6,14 @@
 #include <cmath>
 #include <deque>
 #include <numeric>
+#include <optional>
 #include <random>
 #include <set>
-#include <string_view>
 #include <utility>
 
+#include "accord/keepers.hpp"
+#include "samples.hpp"
+
 namespace reedspindle {
 namespace {
 
@@ -104,6 +107,8 @@
   double wait = 0;                      // drawn: the share of its patience that this instance waits
   bool asked = false, touched = false;  // asked: an op waits for a sample
   bool mine = false;                    // this instance keeps the pace for all
+  GroupId id;
+  int turn = -1;  // how many that are there come before this instance as keepers; below 0: not known
 };
 
 enum class Want { hold, send, busy_reply, error_reply };
@@ -176,16 +181,21 @@
  private:
   Catalog catalog_;
   std::minstd_rand chance_;
-  const double rank_ = catalog_.number("rank"), instances_ = std::max(1.0, catalog_.number("instances", 1));
+  const double all_ = std::max(1.0, catalog_.number("instances", 1));
+  const int rank_ = static_cast<int>(catalog_.number("rank"));
+  double instances_ = all_;          // that share what is for all
+  std::optional<AmongPeers> among_;  // none: nobody says who is there
 
   double roll() { return static_cast<double>(chance_() - 1) / static_cast<double>(chance_.max()); }
 
   // Work is done for the groups that something happened to.
-  Group& touch(Group& group) {
+  Group& touch(GroupId id) {
+    Group& group = groups_[id];
+    group.id = id;
     if (!std::exchange(group.touched, true)) touched_.push_back(&group);
     return group;
   }
-  Group& touch(const Member& member) { return touch(groups_[member.entry.group]); }
+  Group& touch(const Member& member) { return touch(member.entry.group); }
 
   void learn(const ListRead& read) {
     if (read.kind == ListKind::failed) return void(next_watch_ = now_ + 200 + spread());
@@ -332,79 +342,62 @@
   void learn(const OpGone& gone) { ops_.erase(gone.op); }
   void learn(const TimerDue& due) { armed_ = due.timer == armed_as_ ? kNever : armed_; }
 
-  // A position once shown holds whoever saw it, so samples are shared; health is not, it is of the path.
-  // "r1", the sender's clock (5 digits, ms), then by member: mark (4), lag in kLagUnit (2), and in one
-  // digit its role (0: it did not answer) and load: role + 4 * (0: not known, else 1 + 14ths of its
-  // processors).
-
-  static constexpr std::string_view kDigits =
-      "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_";
-  static constexpr std::size_t kHeader = 7, kEntry = 7, kLongest = 256;
-  static constexpr long kClock = 1L << 30, kLags = 1L << 12, kLagUnit = 4;  // two digits of lag span 16 s
-
-  static std::string digits(long number, int count) {
-    return count == 0 ? "" : digits(number / 64, count - 1) + kDigits[static_cast<std::size_t>(number % 64)];
-  }
-  static long number_in(std::string_view text) {  // below 0: no number
-    long number = 0;
-    for (const char digit : text) {
-      const long at = static_cast<long>(kDigits.find(digit));
-      if (at < 0) return -1;
-      number = number * 64 + at;
-    }
-    return number;
-  }
-  static long mark_of(const MemberId& id) {  // FNV-1a, 24 bits: the same at every instance
-    std::uint32_t hash = 2166136261u;
-    for (const char letter : id.address) hash = (hash ^ static_cast<unsigned char>(letter)) * 16777619u;
-    return static_cast<long>((hash ^ hash >> 24) & 0xffffff);
+  // Limits, floors and paces go by who shares them; keepers by who is there.
+  void learn(const AmongPeers& among) {
+    if (!among_ || among_->there != among.there)
+      for (auto& [id, group] : groups_) touch(id).turn = -1;
+    among_ = among, instances_ = std::max(1.0, all_ * among.of_all);
   }
 
-  // Guards against peers of another version, late or wrong: what does not read as a whole, is over a second
-  // old or from the future is dropped, as are members that are unknown or share a mark.
+  // A position once shown holds whoever saw it, so samples are shared; health is not, it is of the path.
+  // Guards against words over a second late, from the future, or on members that are unknown or share a mark.
   void learn(const PeerSpoke& spoke) {
-    const std::string_view text = spoke.text;
-    if (text.size() > kLongest || text.size() <= kHeader || (text.size() - kHeader) % kEntry != 0) return;
-    const long clock = number_in(text.substr(2, 5));
-    const double wrap = static_cast<double>(kClock);
-    const Millis then = now_ - std::fmod(now_ - static_cast<double>(clock) + wrap, wrap) - 1;
-    if (!text.starts_with("r1") || clock < 0 || now_ - then > kSampleAge) return;
+    const auto told = samples_in(spoke.text, now_);
+    if (!told || now_ - told->then > kSampleAge) return;
     if (!hears()) heard_again_ = now_;
     peer_heard_ = now_;
-    for (std::size_t at = kHeader; at < text.size(); at += kEntry) {
-      const long lag = number_in(text.substr(at + 4, 2)), last = number_in(text.substr(at + 6, 1));
-      const long role = last % 4, busy = last / 4;
-      const auto found = std::ranges::equal_range(marked_, number_in(text.substr(at, 4)), {},
-                                                  [](const auto& item) { return item.first; });
-      if (lag < 0 || last < 0 || role > 2 || found.size() != 1) continue;
+    for (const auto& [mark, seen] : told->samples) {
+      const auto found =
+          std::ranges::equal_range(marked_, mark, {}, [](const auto& item) { return item.first; });
+      if (found.size() != 1) continue;
       Member& member = *found.front().second;
       Group& group = touch(member);
+      const bool answered = seen.role != Role::unknown;
       // Of two that keep the pace one goes on.
-      group.mine = group.mine && (role == 0 || rank_ < spoke.peer);
-      if (role > 0) member.told = std::max(member.told, then);
-      if (then <= member.heard || (member.unanswered = role == 0)) continue;
+      group.mine = group.mine && (!answered || keeps_before(group, spoke.peer));
+      if (answered) member.told = std::max(member.told, told->then);
+      if (told->then <= member.heard || (member.unanswered = !answered)) continue;
       // What another saw outweighs a failed probe of one's own, but not failed ops: those make it look again.
       member.probe_bad = kNever;
       if (down(member))
         member.next_probe = std::max(now_, member.probed + kProbePeriod * std::min(5.0, instances_));
       group.wait = roll();
-      const Millis position = lag < kLags - 1 ? then - static_cast<double>(lag * kLagUnit) : -1;
-      see(member, {static_cast<Role>(role), position, busy > 0 ? (busy - 1) / 14.0 : -1}, position, then);
+      see(member, seen, seen.position, told->then);
     }
   }
 
-  // How much longer than the usual pace others are given to tell first, drawn so that few speak at once:
-  // messages take up to 50 ms, 10 ms set two apart. Where none can tell, all keep the pace of one together.
-  // So do they for a member that did not answer who looked first: all would try it, one after the other.
+  // How much longer than the usual pace others are given to tell first: by their turn where the fleet says
+  // who is there, else (and behind those) drawn, so that few speak at once: messages take up to 50 ms, 10 ms
+  // set two apart. Where none can tell, and for a member that did not answer who looked first, all keep the
+  // pace of one together.
   Millis patience(const Group& group, const Member& member) const {
-    return hears() && !member.unanswered ? 50 + 10 * instances_ * group.wait
-                                         : 2 * kProbePeriod * (instances_ - 1) * group.wait;
+    if (!hears() || member.unanswered) return 2 * kProbePeriod * (instances_ - 1) * group.wait;
+    const Millis drawn = 50 + 10 * instances_ * group.wait;
+    return group.turn < 0 ? drawn : group.turn < kReady ? 50 * group.turn : 50 * (kReady - 1) + drawn;
+  }
+  bool keeps_before(const Group& group, int peer) const {
+    return among_ ? accord::precedes(group.id, rank_, peer) : rank_ < peer;
   }
+  static constexpr int kReady = 2;  // who keeps and who is ready to: two that die in one pace are rare
 
   // Guards against instances that don't hear each other: each would keep the pace for all groups and tell all
   // others of it. Not a word of any group for two paces and the way of a message: what goes on elsewhere is
-  // not known here, nor whether anyone listens. Harm: an instance that keeps all groups hears nobody, either.
-  bool hears() const { return may_tell_ && now_ - std::max(peer_heard_, born_) < 2 * kProbePeriod + 50; }
+  // not known here, nor whether anyone listens. One whose turn it is everywhere need not hear anybody.
+  bool hears() const {
+    const auto mine = [](const auto& group) { return group.second.turn == 0; };
+    return may_tell_ && (now_ - std::max(peer_heard_, born_) < 2 * kProbePeriod + 50 ||
+                         (among_ && !among_->there.empty() && std::ranges::all_of(groups_, mine)));
+  }
 
   const bool may_probe_ = catalog_.number("allow.probes") > 0;
   const Millis probe_wait_ = catalog_.number("allow.connect_time_out", 250);  // a new connection included
@@ -626,7 +619,7 @@
   const double zone_ = catalog_.number("zone"), zone_price_ = catalog_.number("price.cross_zone");
 
   Member* choose(const Op& op, const OpType& type) {
-    Group& group = touch(groups_[op.group]);
+    Group& group = touch(op.group);
     Member* primary = primary_of(group);
     if (!primary) group.asked = true;
     const bool primary_usable = primary && usable(*primary);
@@ -686,7 +679,10 @@
     const bool ran = op.may_have_run != kNever;
     const Millis useful_until = type.late_value > 0 ? op.end : std::min(op.end, op.wanted_by);
     const bool remembered = type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50;
-    const bool may_send = op.sends < most_sends_ && (!ran || type.effect == Effect::retryable || remembered);
+    const bool cut_off = among_ && !(type.primary_only() ? among_->writes : among_->reads);
+    const bool again = op.sends > op.turned_away;  // untouched sends cost the store nothing
+    const bool may_send = op.sends < most_sends_ && !cut_off && !(again && resends_ < 1) &&
+                          (!ran || type.effect == Effect::retryable || remembered);
     // What can't be answered in time by the usual latency (its upper quartile) is ended. Never by over 0.6 of
     // the latency target: samples of a bad time would lock everything out.
     const Millis expected = std::min(usual_[op.type], type.target * 0.6);
@@ -699,10 +695,17 @@
     // Guards against sitting on an op its client could ask for again: unsent at half its patience, it ends.
     if (!to) return void(op.want = op.sends == 0 && now_ + 3 * tick_ > op.half ? Want::busy_reply : op.want);
     op.want = Want::send;
+    // Guards stores that fail for all against being asked again by all: first sends fill a bucket for resends
+    // (as in gRPC's A6 and Finagle's RetryBudget), so over the fleet they are at most that share, and a
+    // burst.
+    if (resend_share_ > 0) resends_ = again ? resends_ - 1 : std::min(resends_ + resend_share_, burst_);
     ++to->out;
     if (warmth(*to) < 1) to->credit -= 1;
     to->turn = ++turn_;
   }
+  const double resend_share_ = catalog_.number("resends.share"),
+               burst_ = std::max(1.0, catalog_.number("resends.burst", 100) / all_);
+  double resends_ = burst_;  // that may be sent now
   const double most_sends_ = catalog_.number("allow.sends_per_op", 1), tick_ = catalog_.number("tick", 5);
 
   // When the next probe of a member is due. The pace is kept by the instance that was the last to tell of the
@@ -728,13 +731,14 @@
   void decide_probes() {
     if (next_probe_ <= now_) {
       next_probe_ = kForever;
-      for (auto& [id, group] : groups_) touch(group);
+      for (auto& [id, group] : groups_) touch(id);
     }
     for (Group* group : std::exchange(touched_, {})) judge_probes(*group);
   }
 
   void judge_probes(Group& group) {
     if (group.wait == 0) group.wait = roll();
+    if (among_ && group.turn < 0) group.turn = accord::turn_of(group.id, rank_, among_->there, kReady);
     group.mine = group.mine && hears();
     bool due = false;
     for (Member* member : group.members) {
@@ -790,28 +794,23 @@
     return out;
   }
 
-  // What is found out at one pace goes into one message: it waits for the answers to the probes that are out,
-  // not for long beside the way of a message.
+  // What one pace finds out goes into one message, which waits for the answers to probes, but not for long.
   static constexpr Millis kGather = 25;
   void tell(std::vector<Decision>& out) {
     if (probes_out_ > 0 && now_ < untold_since_ + kGather) return;
-    // While nobody is heard a word now and then will do, from which those who hear again learn that others
-    // do.
+    // While nobody is heard a word now and then will do, from which those who hear again learn of others.
     if (!hears() && now_ < spoke_at_ + kSampleAge) return want_tells_.clear();
-    const long now = static_cast<long>(std::floor(now_));
-    std::string text;
+    std::vector<ToldSample> samples;
     for (Member* member : std::exchange(want_tells_, {})) {
-      if (text.empty()) text = "r1" + digits(now % kClock, 5);
       if (!member->unanswered) member->told = now_;
-      const long lag = static_cast<long>(std::ceil((static_cast<double>(now) - member->proven) / kLagUnit));
-      text += digits(member->mark, 4) + digits(std::clamp(lag, 0L, kLags - 1), 2);
       const bool shown = now_ - member->busy_at < kSampleAge;
-      const long busy = shown ? 1 + std::lround(14 * std::min(1.0, member->busy)) : 0;
-      const long role = member->unanswered ? 0 : member->primary_at > member->replica_at ? 1 : 2;
-      text += digits(role + 4 * busy, 1);
-      if (text.size() + kEntry > kLongest) break;  // the rest is told when its turn comes again
+      const Role role = member->primary_at > member->replica_at ? Role::primary : Role::replica;
+      samples.push_back(
+          {member->mark,
+           {member->unanswered ? Role::unknown : role, member->proven, shown ? member->busy : -1}});
+      if (samples.size() == kMostSamples) break;  // the rest is told when its turn comes again
     }
-    if (!text.empty()) out.push_back(TellPeers{text}), spoke_at_ = now_;
+    if (!samples.empty()) out.push_back(TellPeers{text_of(now_, samples)}), spoke_at_ = now_;
   }
 
   const Millis come_back_ =
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -120,7 +121,17 @@
   int peer = 0;
   std::string text;
 };
-using Event = std::variant<ListRead, OpArrived, SendEnded, ProbeEnded, OpGone, TimerDue, PeerSpoke>;
+// What the fleet holds of this instance among the others. Where nobody tells it, `instances` and the words
+// that are heard decide.
+struct AmongPeers {
+  std::set<int> there;  // the others that are there, by their numbers as peers
+  double of_all = 1;    // what is for all is shared by this part of all instances: the others are known dead
+  bool writes = true;   // false: cut off for too long to send what only a primary may answer
+  bool reads = true;    // false: or anything else
+  bool operator==(const AmongPeers&) const = default;
+};
+using Event =
+    std::variant<ListRead, OpArrived, SendEnded, ProbeEnded, OpGone, TimerDue, PeerSpoke, AmongPeers>;
 
 // Decisions.
 struct Send {
--- /dev/null
+++ b/src/samples.cpp
@@ -0,0 +1,72 @@
+#include "samples.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+namespace reedspindle {
+namespace {
+
+// "r1", the sender's clock (5 digits, ms), then by member: mark (4), lag in kLagUnit (2), and in one digit
+// its role (0: it did not answer) and load: role + 4 * (0: not known, else 1 + 14ths of its processors).
+constexpr std::string_view kDigits = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_",
+                           kForm = "r1";
+constexpr std::size_t kHeader = 7, kEntry = 7, kLongest = 256;
+constexpr long kClock = 1L << 30, kLags = 1L << 12, kLagUnit = 4;  // two digits of lag span 16 s
+static_assert(kMostSamples == (kLongest - kHeader) / kEntry);
+
+std::string digits(long number, int count) {
+  return count == 0 ? "" : digits(number / 64, count - 1) + kDigits[static_cast<std::size_t>(number % 64)];
+}
+
+long number_in(std::string_view text) {  // below 0: no number
+  long number = 0;
+  for (const char digit : text) {
+    const auto at = kDigits.find(digit);
+    if (at == std::string_view::npos) return -1;
+    number = number * 64 + static_cast<long>(at);
+  }
+  return number;
+}
+
+}  // namespace
+
+long mark_of(const MemberId& member) {  // FNV-1a
+  std::uint32_t hash = 2166136261u;
+  for (const char letter : member.address) hash = (hash ^ static_cast<unsigned char>(letter)) * 16777619u;
+  return static_cast<long>((hash ^ hash >> 24) & 0xffffff);
+}
+
+std::string text_of(Millis now, const std::vector<ToldSample>& samples) {
+  const double clock = std::floor(now);
+  std::string text = std::string(kForm) + digits(static_cast<long>(clock) % kClock, 5);
+  for (std::size_t at = 0; at < std::min(samples.size(), kMostSamples); ++at) {
+    const auto& [mark, seen] = samples[at];
+    const double lag = seen.position < 0
+                           ? kLags - 1
+                           : std::clamp(std::ceil((clock - seen.position) / kLagUnit), 0.0, kLags - 1.0);
+    const long busy = seen.busy >= 0 ? 1 + std::lround(14 * std::min(1.0, seen.busy)) : 0;
+    text += digits(mark, 4) + digits(static_cast<long>(lag), 2);
+    text += digits(static_cast<long>(seen.role) + 4 * busy, 1);
+  }
+  return text;
+}
+
+std::optional<ToldSamples> samples_in(std::string_view text, Millis now) {
+  if (text.size() > kLongest || text.size() <= kHeader || (text.size() - kHeader) % kEntry != 0) return {};
+  const long clock = number_in(text.substr(kForm.size(), 5));
+  if (!text.starts_with(kForm) || clock < 0) return {};
+  const double wrap = static_cast<double>(kClock);
+  ToldSamples told{now - std::fmod(now - static_cast<double>(clock) + wrap, wrap) - 1, {}};
+  for (std::size_t at = kHeader; at < text.size(); at += kEntry) {
+    const long mark = number_in(text.substr(at, 4)), lag = number_in(text.substr(at + 4, 2)),
+               last = number_in(text.substr(at + 6, 1));
+    const long role = last % 4, busy = last / 4;
+    if (mark < 0 || lag < 0 || last < 0 || role > 2) continue;
+    const Millis position = lag < kLags - 1 ? told.then - static_cast<double>(lag * kLagUnit) : -1;
+    told.samples.push_back({mark, {static_cast<Role>(role), position, busy > 0 ? (busy - 1) / 14.0 : -1}});
+  }
+  return told;
+}
+
+}  // namespace reedspindle
--- /dev/null
+++ b/src/samples.hpp
@@ -0,0 +1,34 @@
+// What instances tell one another about members, as text; its form is in docs/design.md, "What is told".
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "logic.hpp"
+
+namespace reedspindle {
+
+// A number for a member, the same at every instance: 24 bits of a hash of its address.
+long mark_of(const MemberId& member);
+
+struct ToldSample {
+  long mark = 0;
+  Sighting seen;  // with no role: it did not answer
+};
+struct ToldSamples {
+  Millis then = 0;  // the sender's clock, to the cautious side
+  std::vector<ToldSample> samples;
+};
+
+constexpr std::size_t kMostSamples = 35;  // of one message, the protocol's limit being 256 bytes
+
+// As many of the samples, first ones first, as one message holds.
+std::string text_of(Millis now, const std::vector<ToldSample>& samples);
+// Guards against peers of another version, or wrong: nothing where it does not read as a whole; what is said
+// of a single member in a way that does not read is left out.
+std::optional<ToldSamples> samples_in(std::string_view text, Millis now);
+
+}  // namespace reedspindle
--- a/src/shares/message.hpp
+++ b/src/shares/message.hpp
@@ -38,8 +38,9 @@
   bool need = false;        // answer: more is wanted than there is
   int wants = 0;            // ask: beyond its plain part
   int lends = 0;            // ask: of its plain part, from now on for two leases
-  int amount = 0;           // answer: beyond its plain part
-  Millis left = 0;          // answer: for so long from when it was asked for
+  int amount =
+      0;  // answer: beyond its plain part; bid of who holds the office: places whose fronts have ended
+  Millis left = 0;  // answer: for so long from when it was asked for
 };
 
 std::string bytes_of(const Message& message);
--- a/src/shares/shares.cpp
+++ b/src/shares/shares.cpp
@@ -70,6 +70,7 @@
     if (gone_) return {};
     const bool counts = charge_.place.number < charge_.fleet;
     Part part;
+    part.among = charge_.fleet - (holds() ? ended() : now < ended_until_ ? ended_ : 0);
     const auto add = [&](int amount, Millis until) {
       if (now < until) part.hold += amount;
       if (now < until - charge_.notice) part.open += amount;
@@ -144,7 +145,10 @@
     if (message->kind != Kind::gone) heard_at_[heard.from] = now_;
     switch (message->kind) {
       case Kind::bid:
-        if (message->held) heard_office_ = now_, holder_ = heard.from;
+        if (message->held) {
+          heard_office_ = now_, holder_ = heard.from;
+          ended_ = std::min(message->amount, charge_.fleet / 2), ended_until_ = now_ + fast(charge_.lease);
+        }
         return tell(heard.from, Kind::vote, [&](Message& vote) {
           vote.of = message->number, vote.yes = votes_for(heard.from, message->life);
         });
@@ -257,7 +261,9 @@
     bids_[bid] = {now_, {}};
     for (int place = 0; place < charge_.fleet; ++place)
       if (place != charge_.place.number)
-        tell({place}, Kind::bid, [&](Message& message) { message.number = bid, message.held = held; });
+        tell({place}, Kind::bid, [&](Message& message) {
+          message.number = bid, message.held = held, message.amount = held ? ended() : 0;
+        });
     if (votes_for(charge_.place, life_)) count(bid, charge_.place);
   }
 
@@ -283,6 +289,12 @@
     return heard == heard_at_.end() || heard->second < empty->second;
   }
 
+  int ended() const {
+    return static_cast<int>(std::ranges::count_if(empty_at_, [this](const auto& item) {
+      return item.first.number < charge_.fleet && is_free(item.first);
+    }));
+  }
+
   // What is known not to be used by whom it belongs to.
   int pool(Place before = {kMostPlaces}) const {
     int pool = 0;
@@ -419,6 +431,7 @@
       if (when > now_) next = std::min(next, when);
     };
     for (const Millis until : {granted_until_, own_until_}) at(until), at(until - charge_.notice);
+    at(ended_until_);
     for (const auto& [until, amount] : lent_) at(until);
     at(settled_at_), at(settled_at_ + charge_.notice);
     if (!gone_) {
@@ -456,6 +469,8 @@
   bool need_ = false;
   Place holder_;
   Millis heard_office_ = 0;
+  int ended_ = 0;  // fronts, by the office's word
+  Millis ended_until_ = kNever;
   // As one who votes.
   Millis votes_from_ = 0, bound_until_ = kNever;
   Place bound_to_;
--- a/src/shares/shares.hpp
+++ b/src/shares/shares.hpp
@@ -52,8 +52,9 @@
 
 // Thousandths of a slot.
 struct Part {
-  int open = 0;  // up to where something new may be begun
-  int hold = 0;  // what must not be exceeded
+  int open = 0;   // up to where something new may be begun
+  int hold = 0;   // what must not be exceeded
+  int among = 0;  // fronts that share what needs no more than a sum on average: the others have ended
   bool operator==(const Part&) const = default;
 };
 
--- /dev/null
+++ b/tests/accord.cpp
@@ -0,0 +1,118 @@
+// Plays a case file to one front's accord and prints what it decides. "ask 3 list 7" is fellow 3's question,
+// its list's sum and revision being 7; "answer 3 list 7 word 2000" answers the last question to it. Lines
+// starting with two blanks hold what is expected and are skipped on reading.
+#include "accord/accord.hpp"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+namespace {
+using namespace reedspindle::accord;
+using reedspindle::Millis;
+
+std::map<Place, std::uint32_t> asked;  // the last question to each
+
+void print(const Tell& tell) {
+  const auto message = message_in(tell.bytes);
+  if (message->kind == Kind::asks) asked[tell.to] = message->number;
+  std::cout << fmt::format("  {} {}, list {}{}\n", message->kind == Kind::asks ? "asks" : "answers",
+                           tell.to.number, message->account.of(Matter::list),
+                           message->word_age < 0 ? "" : fmt::format(", word {} ms old", message->word_age));
+}
+void print(const WakeAt&) {}
+void print(const Found& found) {
+  std::cout << "  " << word_of(found.finding);
+  if (found.finding == Finding::differs || found.finding == Finding::agrees)
+    std::cout << fmt::format(" in {}, first {}", word_of(found.matter), found.place.number);
+  if (found.finding == Finding::differs)
+    std::cout << fmt::format(", {} here, {} there", found.mine.of(found.matter),
+                             found.theirs.of(found.matter));
+  std::cout << fmt::format(", {} ms\n", found.span);
+}
+void print(const Allowed& allowed) {
+  std::cout << fmt::format("  writes {} reads {}\n", allowed.writes, allowed.reads);
+}
+
+Account account_in(std::istream& line) {
+  Account account;
+  std::string word;
+  while (line >> word && word != "word") {
+    std::uint32_t sum = 0;
+    line >> sum;
+    if (word == "list") account.sums[0] = sum, account.revision = sum;
+    if (word == "primaries") account.sums[1] = sum;
+    if (word == "view") account.sums[2] = sum;
+  }
+  return account;
+}
+}  // namespace
+
+int main(int, char** argv) {
+  std::ifstream file(argv[1]);
+  Charge charge;
+  charge.place = {0};
+  std::unique_ptr<Accord> accord;
+  for (std::string text; std::getline(file, text);) {
+    if (text.starts_with("  ")) continue;
+    std::cout << text << '\n';
+    std::istringstream line(text);
+    std::string word;
+    line >> word;
+    if (word.empty() || word == "#") continue;
+    if (word == "given") {
+      Millis value = 0;
+      line >> word >> value;
+      (word == "writes-for"  ? charge.writes_for
+       : word == "reads-for" ? charge.reads_for
+                             : charge.silence) = value;
+      continue;
+    }
+    if (!accord) accord = make_accord(charge, 7);
+    int place = 0;
+    if (word == "at") {
+      Millis now = 0;
+      line >> now;
+      for (const auto& decision : accord->settle(now))
+        std::visit([](const auto& one) { print(one); }, decision);
+    } else if (word == "there") {  // "there 4: 1 2 3", of four that count
+      Fellows fellows;
+      line >> fellows.counted >> word;
+      while (line >> place) fellows.there.insert({place});
+      accord->note(std::move(fellows));
+    } else if (word == "acts") {
+      accord->note(Acts{account_in(line)});
+    } else if (word == "confirmed") {
+      accord->note(Confirmed{});
+    } else if (word == "ask" || word == "answer") {
+      line >> place;
+      Message message{
+          word == "ask" ? Kind::asks : Kind::answers, asked[{place}], {place}, account_in(line), -1};
+      if (!(line >> message.word_age)) message.word_age = -1;
+      accord->note(Heard{{place}, bytes_of(message)});
+    } else if (word == "as") {  // "as 2 ask 3": in another's name
+      int other = 0;
+      line >> place >> word >> other;
+      accord->note(Heard{{place}, bytes_of({Kind::asks, 1, {other}, {}, -1})});
+    } else if (word == "cut-short") {  // any datagram without its last byte
+      line >> place;
+      const std::string bytes = bytes_of({Kind::asks, 1, {place}, {}, 5});
+      accord->note(Heard{{place}, bytes.substr(0, bytes.size() - 1)});
+    } else if (word == "view") {
+      const View view = accord->view();
+      for (int matter = 0; matter < kMatters; ++matter) {
+        const Difference& is = view.differences[static_cast<std::size_t>(matter)];
+        std::cout << fmt::format("  {}: {} of {} differ{}{}\n", word_of(static_cast<Matter>(matter)),
+                                 is.differ, is.compared, is.behind ? ", behind" : "",
+                                 is.since > 0 ? fmt::format(", since {}", is.since) : "");
+      }
+      std::cout << fmt::format("  contact {}{}, {} dropped\n", view.contact, view.cut_off ? ", cut off" : "",
+                               view.dropped);
+    } else {
+      std::cout << "  not known\n";
+    }
+  }
+}
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -86,7 +86,8 @@
 }
 
 // "list complete a:ready b:draining:9000" (address, state, up since), "op 1 type 2 patience 400 token 50",
-// "ended 1/0 a acked replica 9900 took 40", "probed b replica 9950 busy 0.5", "unprobed b", "gone 1", "wake".
+// "ended 1/0 a acked replica 9900 took 40", "probed b replica 9950 busy 0.5", "unprobed b", "gone 1", "among
+// 1,2 of 0.6 no-writes no-reads", "wake".
 Event event_of(std::istream& line, const std::string& word) {
   std::string text, rest;
   char slash;
@@ -148,6 +149,15 @@
     line >> spoke.text;
     return spoke;
   }
+  if (word == "among") {
+    AmongPeers among;
+    line >> text >> rest >> among.of_all;
+    std::istringstream peers(text);
+    for (std::string peer; std::getline(peers, peer, ',');)
+      if (peer != "none") among.there.insert(std::stoi(peer));
+    while (line >> text) (text == "no-writes" ? among.writes : among.reads) = false;
+    return among;
+  }
   if (word == "wake") return TimerDue{};
   throw std::runtime_error("unknown event " + word);
 }
