The rig passes a front's words to all the others, counts probes and calls, waits for accord

Seen: in plans with eight fronts each store got 27 probes a second, with four 5 to 13, though one keeper's pace is 5 (new figure of the rig, probes/s of a store). Examined: the module's patience (a probe each 295 ms a front is the pace of one who hears nothing of the group), marks and clocks (ruled out: hears() held, or the pace would be slower still). At fault: Relay::came, which sent what a front addresses to all (its own stand) back to that front alone; fronts of the rig have never heard each other's words. Change: such a datagram goes to each other front over its link. Plans may bound probes, calls to discovery and sends an op, take (accord ...) and (resends ...), and wait for accord, differs and cut-off.

--- a/src/rig/discovery.cpp
+++ b/src/rig/discovery.cpp
@@ -61,6 +61,7 @@
     return at == std::string::npos ? other : std::stoll(line.substr(at + std::string(name).size()));
   };
   timers_.drop(link->until);
+  ++calls_;
   link->since = number("since=", -1);
   if (silent_) return;
   const Now now = ask_();
--- a/src/rig/discovery.hpp
+++ b/src/rig/discovery.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <asio.hpp>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -32,6 +33,7 @@
   void changed();
   // It takes what is asked and says nothing.
   void be_silent(bool silent) { silent_ = silent; }
+  std::uint64_t calls() const { return calls_; }
 
  private:
   struct Link;
@@ -48,6 +50,7 @@
   const Written written_;
   std::list<std::weak_ptr<Link>> watching_;
   bool silent_ = false;
+  std::uint64_t calls_ = 0;
 };
 
 }  // namespace reedspindle::rig
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -88,6 +88,16 @@
     const nlohmann::json& told = fleet["shares"];
     plan.shares = {told["connections"], told["lease"], told["evidence"], told["notice"], told["kept"]};
   }
+  if (fleet.contains("accord")) {
+    const nlohmann::json& told = fleet["accord"];
+    plan.accord =
+        fmt::format(" (accord (pace {}ms) (grace {}ms) (silence {}ms) (writes-for {}ms) (reads-for {}ms))",
+                    told["pace"].get<double>(), told["grace"].get<double>(), told["silence"].get<double>(),
+                    told["writes-for"].get<double>(), told["reads-for"].get<double>());
+  }
+  if (fleet.contains("resends"))
+    plan.resends = fmt::format(" (resends (share {}) (burst {}))", fleet["resends"]["share"].get<double>(),
+                               fleet["resends"]["burst"].get<double>());
   stores_in(file.values, plan);
   std::vector<std::string> faults;
   int told_so_far = 0;
@@ -96,6 +106,8 @@
     Step step;
     step.line = file.lines.at(key);
     step.fault = told["fault"], step.name = told.value("name", ""), step.until = told["until"];
+    step.in = told["in"], step.sends = told["sends-at-most"], step.probes = told["probes-at-most"],
+    step.calls = told["calls-at-most"];
     step.fronts = told.contains("fronts") ? fronts_in(told["fronts"]) : all_of(plan.fronts);
     step.to = fronts_in(told.value("to", "")), step.of = fronts_in(told.value("of", ""));
     step.none_failed = fronts_in(told.value("none-failed", ""));
@@ -124,8 +136,10 @@
     if (!step.with.empty() && !links) fault("'with' goes with cut, slow, limit and reset");
     if (step.stores.empty() ? of_stores(step.fault) : !of_stores(step.fault) && !links)
       fault("'stores' goes with what strikes stores, who need it, and with cut, slow, limit and reset");
-    if (step.of.empty() != (step.until == "now" || step.until == "agreed"))
-      fault("'of' goes with until there, failed, left or yielded, and they need it");
+    if (step.of.empty() != (step.until == "now" || step.until == "agreed" || step.until == "accord"))
+      fault("'of' goes with until there, failed, left, yielded, differs or cut-off, and they need it");
+    if (plan.accord.empty() && (step.until == "accord" || step.until == "differs" || step.until == "cut-off"))
+      fault("until accord, differs or cut-off needs (fleet (accord ...))");
     if (!step.name.empty() && (step.fault != "start" || step.fronts.size() != 1))
       fault("'name' goes with the start of one front");
     if (step.fault == "drawn") {
--- a/src/rig/plan.hpp
+++ b/src/rig/plan.hpp
@@ -18,13 +18,15 @@
 extern const operators::Form kPlan;
 
 struct Step {
-  std::string fault, name, until;
+  std::string fault, name, until, in;
   std::set<int> fronts, to, of, none_failed, stores;
   std::set<std::string> with;  // discovery, clients: what else the links of the fronts go to
   Millis clock = 0, by = 0, jitter = 0, lasts = 0, within = 0;
   double share = 0, rate = 0;
-  double part = 0;   // slots that each that runs has to have
-  double acked = 0;  // share of the step's ops that has to be acked in time
+  double part = 0;               // slots that each that runs has to have
+  double acked = 0;              // share of the step's ops that has to be acked in time
+  double sends = 0;              // that reach stores for each of the step's ops, at most; 0: any
+  double probes = 0, calls = 0;  // at most in any second: of a store, of all fronts to discovery; 0: any
   int count = 0;
   int line = 0;  // of the plan
 };
@@ -39,7 +41,8 @@
     Millis lease = 0, evidence = 0, notice = 0;
     double kept = 0;
   } shares;
-  Millis lag = 0;  // that replicas stand behind, unless a step changes it
+  std::string accord, resends;  // as the operators' file has them; empty: off
+  Millis lag = 0;               // that replicas stand behind, unless a step changes it
   StoreWork work;
   ClientWork clients;
   rules::Terms terms;
--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -76,6 +76,13 @@
   std::deque<std::string>& sent = stands_[static_cast<std::size_t>(from)]->sent;
   sent.push_back(bytes);
   if (sent.size() > kKept) sent.pop_front();
+  // What a front sends to its own stand is for all the others.
+  if (from != to) return carry(from, to, bytes);
+  for (int other = 0; other < static_cast<int>(fronts_.size()); ++other)
+    if (other != from) carry(from, other, bytes);
+}
+
+void Relay::carry(int from, int to, const std::string& bytes) {
   const Link& link = this->link(from, to);
   if (link.cut) return;
   const int copies = link.doubled > 0 && chance() < link.doubled ? 2 : 1;
--- a/src/rig/relay.hpp
+++ b/src/rig/relay.hpp
@@ -54,6 +54,7 @@
   void listen(Stand& stand);
   bool any_cut(int front) const;
   void came(int from, int to, std::string bytes);
+  void carry(int from, int to, const std::string& bytes);
   void pass(int from, int to, const std::string& bytes);
   std::size_t index(int from, int to) const {
     return static_cast<std::size_t>(from) * fronts_.size() + static_cast<std::size_t>(to);
--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -94,7 +94,7 @@
           "(reedspindle (log (form json) (lines-of-a-kind {}))\n (clock (offset {}ms))\n"
           " (fleet (place {}) (pace {}ms) (time-out {}ms) (patience {}) (forget {}ms) (status \"{}\"){}))\n",
           kLinesOfAKind, step.clock, front, fleet.pace, fleet.time_out, fleet.patience, fleet.forget,
-          process(front).status_path(), shares));
+          process(front).status_path(), shares + plan_.accord + plan_.resends));
 }
 
 std::string Rig::placement_of(int front) const {
@@ -181,10 +181,12 @@
   for (int front = 0; front < plan_.fronts; ++front) before_.push_back(relay_->carried(front));
   for (int front = 0; front < plan_.fronts; ++front) process(front).log_lines();
   const Millis from = clock_.now();
+  if (surroundings_)
+    counted_ = counted_first_ = surroundings_->asked(), counted_at_ = from, most_probes_ = most_calls_ = 0;
   strike(step);
   happened_.push_back({from, text_of(step)});
   // A share of ops can be told once all of them are over.
-  const Millis over = step.acked > 0 ? plan_.clients.op_timeout + 600 : 0;
+  const Millis over = step.acked > 0 || step.sends > 0 ? plan_.clients.op_timeout + 600 : 0;
   for (;;) {
     run(std::min(kLook, std::max(1.0, from + step.lasts - clock_.now())));
     const Millis took = spent_ = clock_.now() - from;
@@ -197,6 +199,7 @@
     if (std::string why = mistaken(step); !why.empty()) return {false, took, std::move(why)};
     if (std::string why = broken(); !why.empty()) return {false, took, std::move(why)};
     if (std::string why = too_many(); !why.empty()) return {false, took, std::move(why)};
+    if (std::string why = too_often(step); !why.empty()) return {false, took, std::move(why)};
     if (clock_.now() - began_ > plan_.longest) return {false, took, "the whole run has taken too long"};
     if (took < step.lasts + over) continue;
     std::string why = missing(step);
@@ -278,9 +281,15 @@
 }
 
 std::string Rig::too_few(const Step& step, Millis from) const {
-  if (step.acked <= 0) return "";
+  if (step.acked <= 0 && step.sends <= 0) return "";
   if (!surroundings_ || !surroundings_->asking()) return "no client asks yet";
   const Tally tally = surroundings_->between(from, from + step.lasts);
+  // Up to now, for clients ask on; the few ops that are open count as sends only.
+  const int over = surroundings_->between(from, clock_.now()).ops();
+  const double sends =
+      static_cast<double>(surroundings_->asked().sends - counted_first_.sends) / std::max(1, over);
+  if (step.sends > 0 && sends > step.sends)
+    return fmt::format("{:.2f} sends for each of {} ops, {:.2f} are allowed", sends, over, step.sends);
   if (tally.share(Came::in_time) >= step.acked) return "";
   std::string text =
       fmt::format("only {:.3f} of {} ops were acked in time", tally.share(Came::in_time), tally.ops());
@@ -330,6 +339,11 @@
       continue;
     }
     if (status["yielded"].get<bool>()) continue;  // out of the fleet
+    if (step.until == "accord" || step.until == "differs" || step.until == "cut-off") {
+      if (step.until != "accord" && !step.of.contains(front)) continue;
+      if (std::string why = accord(front, step); !why.empty()) return why;
+      continue;
+    }
     std::string why;
     if (step.until == "agreed") {
       why = hold(front, running, "there", true);
@@ -362,6 +376,42 @@
   return "";
 }
 
+// Whether a front says of itself what the step waits for.
+std::string Rig::accord(int front, const Step& step) const {
+  const Json status = process(front).status();
+  const Json& says = status["accord"];
+  if (says.is_null()) return fmt::format("{} says nothing of its accord", name_of(front));
+  if (step.until == "cut-off")
+    return says["cut_off"].get<bool>() ? "" : fmt::format("{} is not cut off", name_of(front));
+  if (step.until == "differs")
+    return says[step.in]["differ"].get<int>() > 0
+               ? ""
+               : fmt::format("{} differs from nobody in its {}", name_of(front), step.in);
+  for (const char* matter : {"list", "primaries", "view"}) {
+    const int differ = says[matter]["differ"], compared = says[matter]["compared"];
+    if (differ > 0)
+      return fmt::format("{} differs from {} of {} in its {}", name_of(front), differ, compared, matter);
+    if (compared == 0) return fmt::format("{} has compared its {} with nobody", name_of(front), matter);
+  }
+  return says["cut_off"].get<bool>() ? fmt::format("{} is cut off", name_of(front)) : "";
+}
+
+// What came to stores and discovery in a second of the step, where it was more than it may be.
+std::string Rig::too_often(const Step& step) {
+  if (!surroundings_ || clock_.now() < counted_at_ + 1000) return "";
+  const double seconds = (clock_.now() - counted_at_) / 1000;
+  const Surroundings::Asked now = surroundings_->asked();
+  const double probes = static_cast<double>(now.probes - counted_.probes) / seconds / plan_.stores,
+               calls = static_cast<double>(now.calls - counted_.calls) / seconds;
+  counted_ = now, counted_at_ = clock_.now();
+  most_probes_ = std::max(most_probes_, probes), most_calls_ = std::max(most_calls_, calls);
+  if (step.probes > 0 && probes > step.probes)
+    return fmt::format("{:.1f} probes a second and store, {:.1f} are allowed", probes, step.probes);
+  if (step.calls > 0 && calls > step.calls)
+    return fmt::format("{:.1f} calls to discovery a second, {:.1f} are allowed", calls, step.calls);
+  return "";
+}
+
 // Whom somebody has come to hold failed in this step who must not be.
 std::string Rig::mistaken(const Step& step) {
   if (step.none_failed.empty()) return "";
@@ -412,7 +462,9 @@
     const Millis now = clock_.now();
     const Tally tally = surroundings_->between(now - spent_, now);
     text += fmt::format(", {} ops", tally.ops());
-    text += fmt::format(", most connections {}", most_);
+    text +=
+        fmt::format(", most connections {}, at most {:.1f} probes/s of a store, {:.1f} calls/s, {} sends",
+                    most_, most_probes_, most_calls_, surroundings_->asked().sends - counted_first_.sends);
     for (const auto& [came, count] : tally.came) text += fmt::format(" {} {}", word_of(came), count);
   }
   return text;
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -49,6 +49,8 @@
   // Empty: it is so.
   std::string missing(const Step& step) const;
   std::string hold(int front, const std::set<int>& of, const std::string& standing, bool alone) const;
+  std::string accord(int front, const Step& step) const;
+  std::string too_often(const Step& step);
   std::string mistaken(const Step& step);
   std::string broken();
   std::string too_many();
@@ -76,6 +78,10 @@
   std::vector<rules::Broken> broken_;
   std::set<int> over_;  // stores that had too many at the last look
   int most_ = 0;        // connections that any store had at once
+  // Of the second that runs, and the highest of the step.
+  Surroundings::Asked counted_, counted_first_;
+  Millis counted_at_ = 0;
+  double most_probes_ = 0, most_calls_ = 0;
   std::vector<std::string> names_;
   int listed_;  // places that the lists have
   std::vector<std::unique_ptr<Process>> processes_;
--- a/src/rig/surroundings.cpp
+++ b/src/rig/surroundings.cpp
@@ -115,6 +115,7 @@
   }
   stores_.on([this](const Carried_out& done) { carried_out(done); },
              [this](int store, const std::string& op, const Endpoint& from) {
+               ++sends_;
                if (const auto crossing = streams_.crossing(from))
                  rules_.note(rules::Sent{op, {crossing->gate / each()}, {store}, crossing->to.read});
              });
@@ -258,6 +259,12 @@
 
 std::vector<rules::Broken> Surroundings::settle() { return rules_.settle(clock_.now()); }
 
+Surroundings::Asked Surroundings::asked() const {
+  Asked asked{stores_.probes(), sends_, 0};
+  for (const auto& agent : agents_) asked.calls += agent->calls();
+  return asked;
+}
+
 int Surroundings::connections(int store, const std::set<int>& without) const {
   int sum = 0;
   for (int front = 0; front < plan_.fronts; ++front)
--- a/src/rig/surroundings.hpp
+++ b/src/rig/surroundings.hpp
@@ -44,6 +44,11 @@
   Tally between(Millis from, Millis to) const;
   // Connections that the fronts hold to a store, those left out that stand still.
   int connections(int store, const std::set<int>& without) const;
+  // By the fronts, since the run began.
+  struct Asked {
+    std::uint64_t probes = 0, sends = 0, calls = 0;  // stores, stores, discovery
+  };
+  Asked asked() const;
   std::size_t open_ops() const { return clients_.open(); }
 
  private:
@@ -81,6 +86,7 @@
   };
   std::map<Endpoint, std::deque<Underway>> underway_;
   bool begun_ = false;
+  std::uint64_t sends_ = 0;
 };
 
 }  // namespace reedspindle::rig
