Clocks some ms apart: a commit beyond the front's clock is a token, words from ahead are heard

Examined: stores' positions never fall (stand-in), told positions are rounded to the cautious side, the token's own rounding: ruled out. At fault: Front::settle counts a token back from its clock, and the module took an age of 0 or less for no token (learn(OpArrived)); so a front behind the store had none for a commit of the last few ms. How clocks come apart on one machine: Clock looked at the steady and the system clock one after the other, and a process put aside in between stands ahead for good. Also at fault: samples told by a peer whose clock is ahead, by however little, were taken to be 12 days old and dropped. Change: an age below 0 is a token beyond the clock; of five looks at both clocks the closest counts; words up to 500 ms from ahead count, dated no later than now.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -8,6 +8,7 @@
 // Callbacks that one turn of the loop takes at most before the module is asked: what comes at full speed may
 // not keep the other connections' ops, the timers or the answers waiting.
 constexpr int kOfOneTurn = 64;
+constexpr Millis kAtOnce = 0.001;  // an age that is one, and rounds to none
 }  // namespace
 
 Front::Front(Environment environment, const Orders& orders)
@@ -75,7 +76,9 @@
   for (Noted& noted : std::exchange(noted_, {})) {
     if (auto* arrived = std::get_if<OpArrived>(&noted.event)) {
       arrived->patience -= now - noted.arrived;
-      if (noted.position > 0) arrived->token_age = now - noted.position;
+      // Guards against a clock that is behind the store's: a commit beyond it, or at it, is a token all the
+      // same.
+      if (noted.position > 0) arrived->token_age = now == noted.position ? kAtOnce : now - noted.position;
     }
     router_->note(noted.event);
   }
--- a/src/links/clock.hpp
+++ b/src/links/clock.hpp
@@ -19,14 +19,33 @@
 
   Millis now() const {
     using Fraction = std::chrono::duration<double, std::milli>;
-    return start_ + apart_ + Fraction(std::chrono::steady_clock::now() - steady_start_).count();
+    return start_.unix + apart_ + Fraction(std::chrono::steady_clock::now() - start_.steady).count();
   }
 
  private:
+  using Steady = std::chrono::steady_clock::time_point;
+  struct Start {
+    Steady steady;
+    Millis unix = 0;
+  };
+  // Guards against a process that is put aside between its two looks at the clocks: it would stand apart from
+  // all others by as much for good. Of a few tries the one counts that took least.
+  static Start start() {
+    Start best;
+    auto least = std::chrono::steady_clock::duration::max();
+    for (int turn = 0; turn < 5; ++turn) {
+      const Steady before = std::chrono::steady_clock::now();
+      const auto unix = std::chrono::system_clock::now().time_since_epoch();
+      const auto took = std::chrono::steady_clock::now() - before;
+      if (took >= least) continue;
+      least = took;
+      best = {before + took / 2, std::chrono::duration<double, std::milli>(unix).count()};
+    }
+    return best;
+  }
+
   const Millis apart_;
-  const std::chrono::steady_clock::time_point steady_start_ = std::chrono::steady_clock::now();
-  const Millis start_ =
-      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+  const Start start_ = start();
 };
 
 // Owns every timer of the front. Whoever sets one keeps the handle and gives it back with drop, or lets it
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -242,7 +242,7 @@
     op.half = now_ + arrived.patience / 2, op.end = now_ + arrived.patience;
     op.wanted_by = now_ + type_of(op.type).target - waited(arrived);
     // A millisecond to the cautious side: positions are rounded down, ages may be rounded either way.
-    if (arrived.token_age > 0) op.token = now_ - std::floor(arrived.token_age) + 1;
+    if (arrived.token_age != 0) op.token = now_ - std::floor(arrived.token_age) + 1;
     op.chance = roll();
     op.token = std::max(op.token, remembered_floor_);
     if (const auto mine = remembered_.find(arrived.session); mine != remembered_.end())
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -93,8 +93,9 @@
   GroupId group;
   std::string session;
   Millis patience = 0;
-  Millis token_age = 0;  // since the commit of the session's last write; 0: none
-  bool repeat = false;   // the client says that it has asked before
+  // Since the commit of the session's last write; 0: none. Below 0: the clock here is behind that commit's.
+  Millis token_age = 0;
+  bool repeat = false;  // the client says that it has asked before
 };
 struct SendEnded {
   OpId op;
--- a/src/samples.cpp
+++ b/src/samples.cpp
@@ -13,6 +13,8 @@
                            kForm = "r1";
 constexpr std::size_t kHeader = 7, kEntry = 7, kLongest = 256;
 constexpr long kClock = 1L << 30, kLags = 1L << 12, kLagUnit = 4;  // two digits of lag span 16 s
+// By which the sender's clock may be ahead of ours: half the age up to which samples count.
+constexpr Millis kAhead = 500;
 static_assert(kMostSamples == (kLongest - kHeader) / kEntry);
 
 std::string digits(long number, int count) {
@@ -57,13 +59,17 @@
   const long clock = number_in(text.substr(kForm.size(), 5));
   if (!text.starts_with(kForm) || clock < 0) return {};
   const double wrap = static_cast<double>(kClock);
-  ToldSamples told{now - std::fmod(now - static_cast<double>(clock) + wrap, wrap) - 1, {}};
+  Millis age = std::fmod(now - static_cast<double>(clock) + wrap, wrap);
+  if (age > wrap / 2) age -= wrap;
+  if (age < -kAhead) return {};
+  const Millis sent = now - age - 1;  // by the sender's clock
+  ToldSamples told{std::min(sent, now), {}};
   for (std::size_t at = kHeader; at < text.size(); at += kEntry) {
     const long mark = number_in(text.substr(at, 4)), lag = number_in(text.substr(at + 4, 2)),
                last = number_in(text.substr(at + 6, 1));
     const long role = last % 4, busy = last / 4;
     if (mark < 0 || lag < 0 || last < 0 || role > 2) continue;
-    const Millis position = lag < kLags - 1 ? told.then - static_cast<double>(lag * kLagUnit) : -1;
+    const Millis position = lag < kLags - 1 ? sent - static_cast<double>(lag * kLagUnit) : -1;
     told.samples.push_back({mark, {static_cast<Role>(role), position, busy > 0 ? (busy - 1) / 14.0 : -1}});
   }
   return told;
--- a/src/samples.hpp
+++ b/src/samples.hpp
@@ -19,7 +19,7 @@
   Sighting seen;  // with no role: it did not answer
 };
 struct ToldSamples {
-  Millis then = 0;  // the sender's clock, to the cautious side
+  Millis then = 0;  // the sender's clock, to the cautious side, and not beyond ours
   std::vector<ToldSample> samples;
 };
 
@@ -27,8 +27,9 @@
 
 // As many of the samples, first ones first, as one message holds.
 std::string text_of(Millis now, const std::vector<ToldSample>& samples);
-// Guards against peers of another version, or wrong: nothing where it does not read as a whole; what is said
-// of a single member in a way that does not read is left out.
+// Guards against peers of another version, or wrong: nothing where it does not read as a whole, or is further
+// from the future than clocks are apart; what is said of a single member in a way that does not read is left
+// out.
 std::optional<ToldSamples> samples_in(std::string_view text, Millis now);
 
 }  // namespace reedspindle
