--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -342,10 +342,10 @@
   void learn(const OpGone& gone) { ops_.erase(gone.op); }
   void learn(const TimerDue& due) { armed_ = due.timer == armed_as_ ? kNever : armed_; }
 
-  // Limits, floors and paces go by who shares them; keepers by who is there.
+  // Guards against all that come at once, or meet again: while it knows few, each would hold itself first.
   void learn(const AmongPeers& among) {
-    if (!among_ || among_->there != among.there)
-      for (auto& [id, group] : groups_) touch(id).turn = -1;
+    if (!among_ || !std::ranges::includes(among_->there, among.there)) grown_at_ = now_;
+    for (auto& [id, group] : groups_) touch(id).turn = -1;
     among_ = among, instances_ = std::max(1.0, all_ * among.of_all);
   }
 
@@ -542,10 +542,9 @@
   // Guards against pushing over a cold member: in a millisecond this instance sends it at most the rule's
   // multiple of its share of what a warm member of its size answered this instance of late, which is less
   // than such a member can do. That may be far under one op; the sum over all instances keeps the rule.
-  // What a cold member shows of itself outweighs that estimate: while credit is what holds ops back it gets a
-  // tenth more with each sample below half in use, up to four times, and three tenths less above 0.7. Guards
-  // groups whose members are all new. Harm: what is shown is one or two samples old, in which this grows by
-  // 1.2; where credit holds nothing back it is taken away, so that no sudden wave meets it.
+  // What a cold member shows of itself outweighs that: while credit holds ops back it gets a tenth more with
+  // each sample below half in use, up to four times, three tenths less above 0.7. Guards groups whose members
+  // are all new. Harm: samples are old by one or two; where credit holds nothing back it is taken away again.
   void credit_more(Member& member) {
     const bool over = warmth(member) >= 1 || member.busy > 0.7, spare = !over && accrue(member) >= 1;
     if (over || spare || member.busy < 0.5)
@@ -738,7 +737,8 @@
 
   void judge_probes(Group& group) {
     if (group.wait == 0) group.wait = roll();
-    if (among_ && group.turn < 0) group.turn = accord::turn_of(group.id, rank_, among_->there, kReady);
+    if (among_ && group.turn < 0 && now_ - grown_at_ > kSampleAge)
+      group.turn = accord::turn_of(group.id, rank_, among_->there, kReady);
     group.mine = group.mine && hears();
     bool due = false;
     for (Member* member : group.members) {
@@ -817,8 +817,8 @@
       catalog_.number("allow.longest_come_back") * (catalog_.number("allow.come_back") > 0);
 
   double primary_density_ = 1e-9, long_part_ = 0;
-  Millis now_ = 0, born_ = kNever, peer_heard_ = kNever, heard_again_ = kNever, armed_ = kNever,
-         next_watch_ = kNever, next_probe_ = 0;
+  Millis now_ = 0, born_ = kNever, peer_heard_ = kNever, heard_again_ = kNever, grown_at_ = kNever,
+         armed_ = kNever, next_watch_ = kNever, next_probe_ = 0;
   TimerId armed_as_;
   bool want_watch_ = false;
   long turn_ = 0;
