A front whose discovery is silent hears from its fellows which members leave

Need: halves that meet, or one front that discovery does not speak to, go on sending to stores that drain; what removes should win at once. Change: the accord, while discovery is silent to this front for longer than the grace, asks a fellow whose list is later which of the members held ready it does not hold so, 40 marks a pace; those are as if listed as draining, until discovery's own word or ten paces without it being said again. What adds waits for discovery. The rig can spare stores in a step: no op may reach them.

--- a/src/accord/accord.cpp
+++ b/src/accord/accord.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <random>
@@ -18,6 +19,8 @@
 constexpr int kOfPlace = 8;
 // The shortest time that a fellow's word is held, in paces, and the longest by the bound on how many are.
 constexpr double kHeldPaces = 4;
+// For how long a fellow's word that a member leaves holds: some rounds over 120 members, 40 a pace.
+constexpr double kDoubtPaces = 10;
 
 class Comparing final : public Accord {
  public:
@@ -37,13 +40,14 @@
     forget();
     for (int matter = 0; matter < kMatters; ++matter) compare(static_cast<Matter>(matter));
     ask();
+    check_list();
     judge_contact();
     wake();
     return std::move(decisions_);
   }
 
   View view() const override {
-    View view{{}, contact(), cut_off_, allowed_, dropped_};
+    View view{{}, contact(), cut_off_, allowed_, doubted_.size(), dropped_};
     for (std::size_t matter = 0; matter < kMatters; ++matter) view.differences[matter] = streaks_[matter].is;
     return view;
   }
@@ -69,12 +73,23 @@
       hold(heard.from, message->account, now_);
       return tell(heard.from, Kind::answers, message->number);
     }
+    if (message->kind == Kind::checks) {
+      // Only a list that is later than the other's says more of who leaves.
+      if (message->account.revision >= account_.revision) return;
+      std::vector<std::uint32_t> leave;
+      std::ranges::copy_if(message->marks, std::back_inserter(leave),
+                           [this](std::uint32_t mark) { return !ready_.contains(mark); });
+      return tell(heard.from, Kind::leave, message->number, std::move(leave));
+    }
     // Guards against a word that took long: it is dated by when it was asked for, not by when it came.
     const auto asked = std::ranges::find(asked_, std::pair(message->number, heard.from), &Asked::what);
     if (asked == asked_.end()) return void(++dropped_);
     hold(heard.from, message->account, asked->at);
     if (message->word_age >= 0) word_at_ = std::max(word_at_, asked->at - message->word_age);
     asked_.erase(asked);
+    if (message->kind != Kind::leave || !silent()) return;
+    for (const std::uint32_t mark : message->marks)
+      if (ready_.contains(mark)) doubted_[mark] = now_ + charge_.pace * kDoubtPaces;
   }
 
   void take(const Fellows& fellows) { there_ = fellows.there, counted_ = fellows.counted; }
@@ -83,10 +98,43 @@
     for (int matter = 0; matter < kMatters; ++matter)
       if (acts.account.of(static_cast<Matter>(matter)) != account_.of(static_cast<Matter>(matter)))
         changed_at_[static_cast<std::size_t>(matter)] = now_;
-    account_ = acts.account;
+    account_ = acts.account, ready_ = acts.ready;
+  }
+
+  void take(const Confirmed&) {
+    word_at_ = own_word_at_ = now_;
+    doubted_.clear();
   }
 
-  void take(const Confirmed&) { word_at_ = now_; }
+  // Discovery has not spoken to this front itself for longer than news may take.
+  bool silent() const { return now_ - std::max(own_word_at_, started_) > charge_.grace; }
+
+  // What removes is taken from a fellow at once, for it can only make this front more careful: while
+  // discovery is silent here, whoever has a later list is asked which of the members held ready it does not
+  // hold so, a part of them each pace. What adds waits for discovery.
+  void check_list() {
+    std::erase_if(doubted_, [this](const auto& item) { return now_ >= item.second; });
+    if (now_ >= next_check_) {
+      next_check_ = now_ + charge_.pace;
+      std::vector<Place> ahead;
+      for (const auto& [place, held] : held_)
+        if (held.account.revision > account_.revision) ahead.push_back(place);
+      if (silent() && !ahead.empty() && !ready_.empty()) {
+        std::vector<std::uint32_t> marks;
+        auto next = ready_.upper_bound(checked_);
+        for (std::size_t turn = 0; turn < std::min(kMostMarks, ready_.size()); ++turn, ++next) {
+          if (next == ready_.end()) next = ready_.begin();
+          marks.push_back(checked_ = *next);
+        }
+        const Place whom = ahead[random_() % ahead.size()];
+        note_asked(whom);
+        tell(whom, Kind::checks, number_, std::move(marks));
+      }
+    }
+    std::set<std::uint32_t> marks;
+    for (const auto& [mark, until] : doubted_) marks.insert(mark);
+    if (marks != told_doubted_) decisions_.push_back(Doubted{told_doubted_ = std::move(marks)});
+  }
 
   void hold(Place of, const Account& account, Millis at) {
     Held& held = held_[of];
@@ -158,11 +206,15 @@
       if (!round_.empty()) whom = round_.back(), round_.pop_back();
     }
     if (!whom) return;
-    asked_.push_back({{++number_, *whom}, now_});
-    if (asked_.size() > kAsked) asked_.pop_front();
+    note_asked(*whom);
     tell(*whom, Kind::asks, number_);
   }
 
+  void note_asked(Place whom) {
+    asked_.push_back({{++number_, whom}, now_});
+    if (asked_.size() > kAsked) asked_.pop_front();
+  }
+
   // Contact is what would tell this front if it were wrong: discovery, here or at a fellow that hears it, or
   // the greater part of the fleet. A fleet that has all lost discovery goes on; one who has lost both may be
   // on the wrong side of a cut.
@@ -184,13 +236,13 @@
 
   void found(Found finding) { decisions_.push_back(std::move(finding)); }
 
-  void tell(Place to, Kind kind, std::uint32_t number) {
+  void tell(Place to, Kind kind, std::uint32_t number, std::vector<std::uint32_t> marks = {}) {
     const Millis age = word_at_ == kNever ? -1 : now_ - word_at_;
-    decisions_.push_back(Tell{to, bytes_of({kind, number, charge_.place, account_, age})});
+    decisions_.push_back(Tell{to, bytes_of({kind, number, charge_.place, account_, age, std::move(marks)})});
   }
 
   void wake() {
-    Millis next = next_ask_;
+    Millis next = std::min(next_ask_, next_check_);
     for (const Millis at : {charge_.silence, charge_.writes_for, charge_.reads_for})
       if (at != kForever && contact() + at + 1 > now_) next = std::min(next, contact() + at + 1);
     for (const Streak& streak : streaks_)
@@ -223,6 +275,11 @@
   Millis word_at_ = kNever, majority_at_ = kNever, lost_ = kNever;
   bool cut_off_ = false;
   Allowed allowed_;
+  // Of a list that is behind.
+  std::set<std::uint32_t> ready_, told_doubted_;
+  std::map<std::uint32_t, Millis> doubted_;  // until when
+  std::uint32_t checked_ = 0;                // the last mark that was asked of
+  Millis next_check_ = 0, own_word_at_ = kNever;
   std::uint64_t dropped_ = 0;
 };
 
--- a/src/accord/accord.hpp
+++ b/src/accord/accord.hpp
@@ -40,6 +40,7 @@
 // What this front acts on from now on.
 struct Acts {
   Account account;
+  std::set<std::uint32_t> ready;  // marks of the members that its list holds ready
 };
 // Discovery has answered this front.
 struct Confirmed {};
@@ -67,7 +68,12 @@
   bool writes = true, reads = true;
   bool operator==(const Allowed&) const = default;
 };
-using Decision = std::variant<Tell, WakeAt, Found, Allowed>;
+// Members that this front's list holds ready and a later one does not, as fellows say while discovery is
+// silent here: nothing new goes there. Ends with discovery's next word, or when nobody says so any more.
+struct Doubted {
+  std::set<std::uint32_t> marks;
+};
+using Decision = std::variant<Tell, WakeAt, Found, Allowed, Doubted>;
 
 // Of one matter: over the fellows whose word is recent, at most kMostHeld of them. Where the fleet is larger
 // that is a sample, and the share of those that differ has a standard error of sqrt(p (1 - p) / compared).
@@ -82,6 +88,7 @@
   Millis contact = 0;  // when there was contact last
   bool cut_off = false;
   Allowed allowed;
+  std::size_t doubted = 0;    // members
   std::uint64_t dropped = 0;  // datagrams that did not read, or are not believed
 };
 constexpr std::size_t kMostHeld = 64;
--- a/src/accord/account.cpp
+++ b/src/accord/account.cpp
@@ -5,6 +5,8 @@
 
 #include <string>
 
+#include "samples.hpp"
+
 namespace reedspindle::accord {
 namespace {
 
@@ -21,17 +23,23 @@
     if (entry.state == MemberState::gone)
       held_.erase(entry.member);
     else
-      held_[entry.member] = {entry.group.number, entry.state == MemberState::draining, entry.up_since};
+      held_[entry.member] = entry;
   }
   revision_ = revision;
   std::string text;
-  for (const auto& [member, entry] : held_) {
-    const auto& [group, drains, up_since] = entry;
-    text += fmt::format("{} {} {} {}\n", member.address, group, drains, up_since);
-  }
+  for (const auto& [member, entry] : held_)
+    text += fmt::format("{} {} {} {}\n", member.address, entry.group.number,
+                        entry.state == MemberState::draining, entry.up_since);
   sum_ = sum_of(text);
 }
 
+std::map<std::uint32_t, ListedMember> ListHeld::ready() const {
+  std::map<std::uint32_t, ListedMember> ready;
+  for (const auto& [member, entry] : held_)
+    if (entry.state == MemberState::ready) ready[static_cast<std::uint32_t>(mark_of(member))] = entry;
+  return ready;
+}
+
 std::uint32_t sum_of_primaries(const std::vector<MemberView>& members) {
   std::string text;
   for (const MemberView& member : members)
--- a/src/accord/account.hpp
+++ b/src/accord/account.hpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <tuple>
 #include <vector>
 
 #include "accord/message.hpp"
@@ -19,10 +18,11 @@
   void learn(ListKind kind, std::uint64_t revision, const std::vector<ListedMember>& members);
   std::uint64_t revision() const { return revision_; }
   std::uint32_t sum() const { return sum_; }
+  // Those that it holds ready, by their marks.
+  std::map<std::uint32_t, ListedMember> ready() const;
 
  private:
-  // Who is on it and not gone: group, whether it drains, since when it is up.
-  std::map<MemberId, std::tuple<int, bool, Millis>> held_;
+  std::map<MemberId, ListedMember> held_;  // who is on it and not gone
   std::uint64_t revision_ = 0;
   std::uint32_t sum_ = 0;
 };
--- a/src/accord/message.cpp
+++ b/src/accord/message.cpp
@@ -12,7 +12,8 @@
 
 constexpr char kLetter = 'A';
 constexpr int kForm = 1;
-constexpr std::size_t kFields = 9;
+constexpr std::size_t kFields = 10;
+constexpr std::uint64_t kMark = (1 << 24) - 1;
 constexpr std::uint64_t kMostPlaces = 1 << 16;
 constexpr Millis kOldest = 86400000;  // a day; what is older is not known
 
@@ -34,7 +35,8 @@
                      sums[0],
                      sums[1],
                      sums[2],
-                     age};
+                     age,
+                     m.marks};
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(1, kLetter) + std::string(bytes.begin(), bytes.end());
 }
@@ -45,7 +47,8 @@
   if (!json.is_array() || json.size() != kFields || json[0] != kForm || !json[8].is_number())
     return std::nullopt;
   constexpr std::uint64_t k32 = std::numeric_limits<std::uint32_t>::max();
-  const auto kind = whole(json[1], 1), number = whole(json[2], k32), place = whole(json[3], kMostPlaces - 1),
+  const auto kind = whole(json[1], static_cast<int>(Kind::leave)), number = whole(json[2], k32),
+             place = whole(json[3], kMostPlaces - 1),
              revision = whole(json[4], std::numeric_limits<std::uint64_t>::max() >> 1);
   if (!kind || !number || !place || !revision) return std::nullopt;
   Message m;
@@ -54,6 +57,12 @@
     if (!sum) return std::nullopt;
     m.account.sums[at] = static_cast<std::uint32_t>(*sum);
   }
+  if (!json[9].is_array() || json[9].size() > kMostMarks) return std::nullopt;
+  for (const Json& told : json[9]) {
+    const auto mark = whole(told, kMark);
+    if (!mark) return std::nullopt;
+    m.marks.push_back(static_cast<std::uint32_t>(*mark));
+  }
   m.word_age = json[8].get<double>();
   if (!std::isfinite(m.word_age) || m.word_age > kOldest || (m.word_age < 0 && m.word_age != -1))
     return std::nullopt;
--- a/src/accord/message.hpp
+++ b/src/accord/message.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "logic.hpp"
 #include "membership/message.hpp"
@@ -28,7 +29,7 @@
   bool operator==(const Account&) const = default;
 };
 
-enum class Kind { asks, answers };
+enum class Kind { asks, answers, checks, leave };
 
 struct Message {
   Kind kind = Kind::asks;
@@ -37,7 +38,10 @@
   Account account;
   // How long ago, at most, discovery spoke to anybody that the sender hears of; below 0: it does not know.
   Millis word_age = -1;
+  // checks: members that the sender holds ready; leave: those of them that the other's list does not.
+  std::vector<std::uint32_t> marks;
 };
+constexpr std::size_t kMostMarks = 40;  // 24 bits each, so that a datagram holds them
 
 std::string bytes_of(const Message& message);
 std::optional<Message> message_in(std::string_view bytes);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -39,7 +39,7 @@
     tier_.emplace(
         timers_, clock_, log_, placement_, *orders.fleet, peers_, members_,
         [this](AmongPeers among) { noted_.push_back({std::move(among)}); },
-        [this] { return router_->view(); });
+        [this](ListRead read) { noted_.push_back({std::move(read)}); }, [this] { return router_->view(); });
 }
 
 void Front::run() {
--- a/src/front/tier.cpp
+++ b/src/front/tier.cpp
@@ -16,7 +16,7 @@
 }  // namespace
 
 Tier::Tier(Timers& timers, const Clock& clock, Log& log, const Placement& placement, const Fleet& fleet,
-           Peers& peers, Members& members, Among among, Steered steered)
+           Peers& peers, Members& members, Among among, Listed listed, Steered steered)
     : timers_(timers),
       clock_(clock),
       log_(log),
@@ -29,6 +29,7 @@
       connections_(fleet.connections),
       acts_pace_(fleet.accord ? fleet.accord->pace : 0),
       among_(std::move(among)),
+      listed_(std::move(listed)),
       steered_(std::move(steered)),
       places_(charge_.places) {
   peers_.hand_over(membership::is_for_membership, [this](int peer, std::string bytes) {
@@ -144,7 +145,9 @@
   account.revision = list_.revision();
   account.sums = {list_.sum(), accord::sum_of_primaries(steered_()),
                   accord::sum_of_view(there(), charge_.place)};
-  compare(accord::Acts{account});
+  std::set<std::uint32_t> ready;
+  for (const auto& [mark, entry] : list_.ready()) ready.insert(mark);
+  compare(accord::Acts{account, std::move(ready)});
   write_later();
   acts_ = timers_.set(clock_.now() + acts_pace_, [this] { acts_.reset(), tell_acts(); });
 }
@@ -228,6 +231,21 @@
 
 void Tier::carry_out(const accord::Allowed&) { tell_module(); }
 
+// To the module it is as if the list said that these drain, and that the others do as it says itself.
+void Tier::carry_out(const accord::Doubted& decision) {
+  ListRead read{ListKind::changes, {}};
+  for (auto& [mark, entry] : list_.ready()) {
+    const bool doubted = decision.marks.contains(mark);
+    if (doubted == doubted_.contains(mark)) continue;
+    read.members.push_back(entry);
+    if (doubted) read.members.back().state = MemberState::draining;
+    log_.warn("accord", doubted ? "a later list has it no more" : "its own list counts again",
+              {{"member", entry.member.address}});
+  }
+  doubted_ = decision.marks;
+  if (!read.members.empty()) listed_(std::move(read));
+}
+
 void Tier::carry_out(const membership::Change& decision) {
   changed_ = true;
   log_.info("fleet", word_of(decision.happening),
@@ -277,6 +295,7 @@
               {"cut_off", compared.cut_off},
               {"writes", compared.allowed.writes},
               {"reads", compared.allowed.reads},
+              {"doubted", compared.doubted},
               {"dropped", compared.dropped},
               {"revision", list_.revision()}};
     for (int matter = 0; matter < accord::kMatters; ++matter) {
--- a/src/front/tier.hpp
+++ b/src/front/tier.hpp
@@ -22,11 +22,12 @@
 class Tier {
  public:
   using Among = std::function<void(AmongPeers)>;
+  using Listed = std::function<void(ListRead)>;
   using Steered = std::function<std::vector<MemberView>()>;  // what the decision module holds true
 
   // Throws Malformed.
   Tier(Timers& timers, const Clock& clock, Log& log, const Placement& placement, const Fleet& fleet,
-       Peers& peers, Members& members, Among among, Steered steered);
+       Peers& peers, Members& members, Among among, Listed listed, Steered steered);
 
   void listed(int places);
   // Discovery's list, as it came.
@@ -55,6 +56,7 @@
   void compare(std::optional<accord::Event> event);
   void carry_out(const accord::Found& decision);
   void carry_out(const accord::Allowed& decision);
+  void carry_out(const accord::Doubted& decision);
   std::set<membership::Place> there() const;
   void tell_need();
   void tell_acts();
@@ -81,8 +83,10 @@
   Driven<accord::Accord> accord_;
   const Millis acts_pace_;
   const Among among_;
+  const Listed listed_;
   const Steered steered_;
   accord::ListHeld list_;
+  std::set<std::uint32_t> doubted_;  // marks of members
   int places_;
   AmongPeers told_;  // the module
   std::optional<Timers::Handle> write_, need_, acts_;
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -112,6 +112,7 @@
     step.to = fronts_in(told.value("to", "")), step.of = fronts_in(told.value("of", ""));
     step.none_failed = fronts_in(told.value("none-failed", ""));
     step.stores = fronts_in(told.value("stores", ""));
+    step.spared = fronts_in(told.value("spared", ""));
     for (const char* with : {"discovery", "clients"})
       if (told.value("with", "").find(with) != std::string::npos) step.with.insert(with);
     step.rate = told["rate"], step.acked = told["acked"], step.part = told["part-at-least"];
@@ -123,8 +124,8 @@
     };
     for (const std::set<int>* named : {&step.fronts, &step.to, &step.of, &step.none_failed})
       if (!named->empty() && *named->rbegin() >= plan.fronts) fault("names a front that is not there");
-    if (!step.stores.empty() && *step.stores.rbegin() >= plan.stores)
-      fault("names a store that is not there");
+    for (const std::set<int>* named : {&step.stores, &step.spared})
+      if (!named->empty() && *named->rbegin() >= plan.stores) fault("names a store that is not there");
     if (plan.stores == 0 && !step.with.empty()) fault("'with' needs stores in the plan");
     const bool sends = step.fault == "garbage" || step.fault == "replay";
     const bool streams = step.fault == "reset" || step.fault == "limit";
--- a/src/rig/plan.hpp
+++ b/src/rig/plan.hpp
@@ -19,7 +19,7 @@
 
 struct Step {
   std::string fault, name, until, in;
-  std::set<int> fronts, to, of, none_failed, stores;
+  std::set<int> fronts, to, of, none_failed, stores, spared;
   std::set<std::string> with;  // discovery, clients: what else the links of the fronts go to
   Millis clock = 0, by = 0, jitter = 0, lasts = 0, within = 0;
   double share = 0, rate = 0;
--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -200,6 +200,7 @@
     if (std::string why = broken(); !why.empty()) return {false, took, std::move(why)};
     if (std::string why = too_many(); !why.empty()) return {false, took, std::move(why)};
     if (std::string why = too_often(step); !why.empty()) return {false, took, std::move(why)};
+    if (std::string why = not_spared(step); !why.empty()) return {false, took, std::move(why)};
     if (clock_.now() - began_ > plan_.longest) return {false, took, "the whole run has taken too long"};
     if (took < step.lasts + over) continue;
     std::string why = missing(step);
@@ -396,6 +397,18 @@
   return says["cut_off"].get<bool>() ? fmt::format("{} is cut off", name_of(front)) : "";
 }
 
+// An op that reached a store which the step spares.
+std::string Rig::not_spared(const Step& step) const {
+  if (step.spared.empty()) return "";
+  const Surroundings::Asked now = surroundings_->asked();
+  for (const int store : step.spared) {
+    const auto at = static_cast<std::size_t>(store);
+    if (now.sends_to[at] > counted_first_.sends_to[at])
+      return fmt::format("{} ops reached store s{}", now.sends_to[at] - counted_first_.sends_to[at], store);
+  }
+  return "";
+}
+
 // What came to stores and discovery in a second of the step, where it was more than it may be.
 std::string Rig::too_often(const Step& step) {
   if (!surroundings_ || clock_.now() < counted_at_ + 1000) return "";
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -51,6 +51,7 @@
   std::string hold(int front, const std::set<int>& of, const std::string& standing, bool alone) const;
   std::string accord(int front, const Step& step) const;
   std::string too_often(const Step& step);
+  std::string not_spared(const Step& step) const;
   std::string mistaken(const Step& step);
   std::string broken();
   std::string too_many();
--- a/src/rig/surroundings.cpp
+++ b/src/rig/surroundings.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "links/placement.hpp"
@@ -91,7 +92,8 @@
           met.push_back(own(kGates, front * each() + plan.stores + 1));
         return met;
       }()),
-      clients_(io, timers, clock, streams_, rules_, met_at_, plan.groups, plan.clients, plan.seed) {
+      clients_(io, timers, clock, streams_, rules_, met_at_, plan.groups, plan.clients, plan.seed),
+      sends_to_(static_cast<std::size_t>(plan.stores)) {
   for (int store = 0; store < plan.stores; ++store) {
     StoreState& state = stores_.state(store);
     state.group = store % plan.groups, state.primary = store < plan.groups, state.lag = plan.lag;
@@ -115,7 +117,7 @@
   }
   stores_.on([this](const Carried_out& done) { carried_out(done); },
              [this](int store, const std::string& op, const Endpoint& from) {
-               ++sends_;
+               ++sends_to_[static_cast<std::size_t>(store)];
                if (const auto crossing = streams_.crossing(from))
                  rules_.note(rules::Sent{op, {crossing->gate / each()}, {store}, crossing->to.read});
              });
@@ -260,7 +262,8 @@
 std::vector<rules::Broken> Surroundings::settle() { return rules_.settle(clock_.now()); }
 
 Surroundings::Asked Surroundings::asked() const {
-  Asked asked{stores_.probes(), sends_, 0};
+  Asked asked{stores_.probes(), std::accumulate(sends_to_.begin(), sends_to_.end(), std::uint64_t{0}), 0,
+              sends_to_};
   for (const auto& agent : agents_) asked.calls += agent->calls();
   return asked;
 }
--- a/src/rig/surroundings.hpp
+++ b/src/rig/surroundings.hpp
@@ -47,6 +47,7 @@
   // By the fronts, since the run began.
   struct Asked {
     std::uint64_t probes = 0, sends = 0, calls = 0;  // stores, stores, discovery
+    std::vector<std::uint64_t> sends_to;             // each store
   };
   Asked asked() const;
   std::size_t open_ops() const { return clients_.open(); }
@@ -86,7 +87,7 @@
   };
   std::map<Endpoint, std::deque<Underway>> underway_;
   bool begun_ = false;
-  std::uint64_t sends_ = 0;
+  std::vector<std::uint64_t> sends_to_;
 };
 
 }  // namespace reedspindle::rig
--- a/tests/accord.cpp
+++ b/tests/accord.cpp
@@ -18,7 +18,14 @@
 
 void print(const Tell& tell) {
   const auto message = message_in(tell.bytes);
-  if (message->kind == Kind::asks) asked[tell.to] = message->number;
+  if (message->kind == Kind::asks || message->kind == Kind::checks) asked[tell.to] = message->number;
+  if (message->kind == Kind::checks || message->kind == Kind::leave) {
+    std::cout << fmt::format("  {} {}:", message->kind == Kind::checks ? "checks with" : "tells who leave",
+                             tell.to.number);
+    for (const std::uint32_t mark : message->marks) std::cout << ' ' << mark;
+    std::cout << '\n';
+    return;
+  }
   std::cout << fmt::format("  {} {}, list {}{}\n", message->kind == Kind::asks ? "asks" : "answers",
                            tell.to.number, message->account.of(Matter::list),
                            message->word_age < 0 ? "" : fmt::format(", word {} ms old", message->word_age));
@@ -33,6 +40,11 @@
                              found.theirs.of(found.matter));
   std::cout << fmt::format(", {} ms\n", found.span);
 }
+void print(const Doubted& doubted) {
+  std::cout << "  doubts:";
+  for (const std::uint32_t mark : doubted.marks) std::cout << ' ' << mark;
+  std::cout << '\n';
+}
 void print(const Allowed& allowed) {
   std::cout << fmt::format("  writes {} reads {}\n", allowed.writes, allowed.reads);
 }
@@ -56,6 +68,7 @@
   Charge charge;
   charge.place = {0};
   std::unique_ptr<Accord> accord;
+  std::set<std::uint32_t> ready;
   for (std::string text; std::getline(file, text);) {
     if (text.starts_with("  ")) continue;
     std::cout << text << '\n';
@@ -84,22 +97,33 @@
       while (line >> place) fellows.there.insert({place});
       accord->note(std::move(fellows));
     } else if (word == "acts") {
-      accord->note(Acts{account_in(line)});
+      Acts acts{account_in(line), ready};
+      accord->note(std::move(acts));
+    } else if (word == "ready") {  // marks, from the next acts on
+      ready.clear();
+      for (std::uint32_t mark = 0; line >> mark;) ready.insert(mark);
+    } else if (word == "check" || word == "leave") {  // "check 3 4 11 12" (revision 4), "leave 3 12"
+      Message message{word == "check" ? Kind::checks : Kind::leave, 1, {}, {}, -1, {}};
+      line >> message.place.number;
+      message.number = asked[message.place];
+      if (word == "check") line >> message.account.revision;
+      for (std::uint32_t mark = 0; line >> mark;) message.marks.push_back(mark);
+      accord->note(Heard{message.place, bytes_of(message)});
     } else if (word == "confirmed") {
       accord->note(Confirmed{});
     } else if (word == "ask" || word == "answer") {
       line >> place;
       Message message{
-          word == "ask" ? Kind::asks : Kind::answers, asked[{place}], {place}, account_in(line), -1};
+          word == "ask" ? Kind::asks : Kind::answers, asked[{place}], {place}, account_in(line), -1, {}};
       if (!(line >> message.word_age)) message.word_age = -1;
       accord->note(Heard{{place}, bytes_of(message)});
     } else if (word == "as") {  // "as 2 ask 3": in another's name
       int other = 0;
       line >> place >> word >> other;
-      accord->note(Heard{{place}, bytes_of({Kind::asks, 1, {other}, {}, -1})});
+      accord->note(Heard{{place}, bytes_of({Kind::asks, 1, {other}, {}, -1, {}})});
     } else if (word == "cut-short") {  // any datagram without its last byte
       line >> place;
-      const std::string bytes = bytes_of({Kind::asks, 1, {place}, {}, 5});
+      const std::string bytes = bytes_of({Kind::asks, 1, {place}, {}, 5, {}});
       accord->note(Heard{{place}, bytes.substr(0, bytes.size() - 1)});
     } else if (word == "view") {
       const View view = accord->view();
