--- a/src/accord/accord.cpp
+++ b/src/accord/accord.cpp
@@ -47,7 +47,7 @@
   }
 
   View view() const override {
-    View view{{}, contact(), cut_off_, allowed_, doubted_.size(), dropped_};
+    View view{{}, contact(), cut_off_, allowed_, told_doubted_, dropped_};
     for (std::size_t matter = 0; matter < kMatters; ++matter) view.differences[matter] = streaks_[matter].is;
     return view;
   }
--- a/src/accord/accord.hpp
+++ b/src/accord/accord.hpp
@@ -88,8 +88,8 @@
   Millis contact = 0;  // when there was contact last
   bool cut_off = false;
   Allowed allowed;
-  std::size_t doubted = 0;    // members
-  std::uint64_t dropped = 0;  // datagrams that did not read, or are not believed
+  std::set<std::uint32_t> doubted;  // marks of members
+  std::uint64_t dropped = 0;        // datagrams that did not read, or are not believed
 };
 constexpr std::size_t kMostHeld = 64;
 
--- a/src/front/tier.cpp
+++ b/src/front/tier.cpp
@@ -295,7 +295,7 @@
               {"cut_off", compared.cut_off},
               {"writes", compared.allowed.writes},
               {"reads", compared.allowed.reads},
-              {"doubted", compared.doubted},
+              {"doubted", compared.doubted.size()},
               {"dropped", compared.dropped},
               {"revision", list_.revision()}};
     for (int matter = 0; matter < accord::kMatters; ++matter) {
--- a/src/rig/virtual_fleet.cpp
+++ b/src/rig/virtual_fleet.cpp
@@ -23,15 +23,20 @@
   membership::Charge charge = charge_;
   charge.name = process.name, charge.place = {front}, charge.places = size();
   process.core = maker_(charge, random_());
-  ++process.life, process.stopped = false, process.wakes = process.shares_wake = 0;
+  ++process.life, process.stopped = false;
+  process.wakes = process.shares_wake = process.accord_wake = 0;
   process.waiting.clear();
-  process.shares_waiting.clear();
   process.born = now_;
   if (sharing_) {
     shares::Charge charge_of = *sharing_;
     charge_of.place = {front};
     process.shares = shares::make_shares(charge_of, random_());
   }
+  if (comparing_) {
+    accord::Charge charge_of = *comparing_;
+    charge_of.place = {front};
+    process.accord = accord::make_accord(charge_of, random_());
+  }
   settle(front);
 }
 
@@ -39,6 +44,7 @@
   Process& process = processes_.at(at(front));
   process.core.reset();
   process.shares.reset();
+  process.accord.reset();
   ++process.life;
 }
 
@@ -46,7 +52,21 @@
   Process& process = processes_.at(at(front));
   if (!process.shares || process.stopped) return;
   process.shares->note(demand);
-  settle_shares(front);
+  settle(front, Of::shares);
+}
+
+void VirtualFleet::act(int front, const accord::Acts& acts) {
+  Process& process = processes_.at(at(front));
+  if (!process.accord || process.stopped) return;
+  process.accord->note(acts);
+  settle(front, Of::accord);
+}
+
+void VirtualFleet::confirm(int front) {
+  Process& process = processes_.at(at(front));
+  if (!process.accord || process.stopped) return;
+  process.accord->note(accord::Confirmed{});
+  settle(front, Of::accord);
 }
 
 shares::Part VirtualFleet::part(int front) const {
@@ -60,7 +80,7 @@
   settle(front);
   if (!process.shares) return;
   process.shares->note(shares::Leaving{});
-  settle_shares(front);
+  settle(front, Of::shares);
 }
 
 void VirtualFleet::stop(int front) { processes_.at(at(front)).stopped = true; }
@@ -68,41 +88,40 @@
 void VirtualFleet::wake(int front) {
   Process& process = processes_.at(at(front));
   if (!std::exchange(process.stopped, false) || !process.core) return;
-  for (membership::Heard& heard : std::exchange(process.waiting, {})) process.core->note(std::move(heard));
-  for (shares::Heard& heard : std::exchange(process.shares_waiting, {}))
-    process.shares->note(std::move(heard));
+  for (const Process::Datagram& waited : std::exchange(process.waiting, {}))
+    note(front, waited.of, waited.from, waited.bytes);
   settle(front);
-  if (process.shares) settle_shares(front);
+  settle(front, Of::shares);
+  settle(front, Of::accord);
 }
 
-void VirtualFleet::hear_shares(int front, int from, const std::string& bytes) {
+void VirtualFleet::note(int front, Of of, int from, const std::string& bytes) {
+  Process& process = processes_[at(front)];
+  if (of == Of::membership) process.core->note(membership::Heard{{from}, bytes});
+  if (of == Of::shares && process.shares) process.shares->note(shares::Heard{{from}, bytes});
+  if (of == Of::accord && process.accord) process.accord->note(accord::Heard{{from}, bytes});
+}
+
+void VirtualFleet::hear(int front, int from, const std::string& bytes) {
+  hear(front, Of::membership, from, bytes);
+}
+
+void VirtualFleet::hear(int front, Of of, int from, const std::string& bytes) {
   Process& process = processes_.at(at(front));
   if (!process.core) {
     // The machine says that nobody listens, where that gets back.
-    if (sharing_ && (!passes || passes(front, from)))
+    if (of == Of::shares && (!passes || passes(front, from)))
       due_.push({now_ + network.delay + network.jitter * chance(), ++order_, from,
-                 processes_.at(at(from)).life, front, Due::Of::refusal, bytes});
+                 processes_.at(at(from)).life, front, Of::refusal, bytes});
     return;
   }
-  if (!process.shares) return;
   if (process.stopped) {
-    if (process.shares_waiting.size() < kSocket) process.shares_waiting.push_back({{from}, bytes});
+    if (process.waiting.size() < kSocket) process.waiting.push_back({of, from, bytes});
     return;
   }
-  process.shares->note(shares::Heard{{from}, bytes});
-  settle_shares(front);
-}
-
-void VirtualFleet::hear(int front, int from, const std::string& bytes) {
-  Process& process = processes_.at(at(front));
-  if (!process.core) return;
-  if (process.stopped) {
-    if (process.waiting.size() < kSocket) process.waiting.push_back({{from}, bytes});
-    return;
-  }
-  process.last = bytes;
-  process.core->note(membership::Heard{{from}, bytes});
-  settle(front);
+  if (of == Of::membership) process.last = bytes;
+  note(front, of, from, bytes);
+  settle(front, of);
 }
 
 void VirtualFleet::run(Millis span) {
@@ -113,78 +132,85 @@
     now_ = due.at;
     Process& process = processes_[at(due.front)];
     const bool awake = process.core && !process.stopped && due.life == process.life;
-    if (due.of == Due::Of::refusal) {
+    const Millis wakes = due.of == Of::membership ? process.wakes
+                         : due.of == Of::shares   ? process.shares_wake
+                                                  : process.accord_wake;
+    if (due.of == Of::refusal) {
       if (awake && process.shares) {
         process.shares->note(shares::Refused{{due.from}, due.bytes});
-        settle_shares(due.front);
+        settle(due.front, Of::shares);
       }
-    } else if (due.of == Due::Of::shares) {
-      if (due.from >= 0)
-        hear_shares(due.front, due.from, due.bytes);
-      else if (awake && due.at == process.shares_wake)
-        settle_shares(due.front);
     } else if (due.from >= 0) {
-      hear(due.front, due.from, due.bytes);
-    } else if (awake && due.at == process.wakes) {
-      settle(due.front);
+      hear(due.front, due.of, due.from, due.bytes);
+    } else if (awake && due.at == wakes) {
+      settle(due.front, due.of);
     }
     if (stepped) stepped(now_);
   }
   now_ = until;
 }
 
+template <typename Core, typename Took>
+void VirtualFleet::decide(int front, Core& core, Of of, Millis& wakes, Load& load, Took took) {
+  Process& process = processes_[at(front)];
+  for (const auto& decision : core.settle(own(process, now_)))
+    std::visit(
+        [&](const auto& taken) {
+          if constexpr (requires { taken.to, taken.bytes; }) {
+            ++load.datagrams, load.bytes += taken.bytes.size();
+            send(front, taken.to.number, of, taken.bytes);
+          } else if constexpr (requires { taken.at; }) {
+            // Time goes on between two wake-ups, whatever rounding makes of a clock that stands apart.
+            const Millis when = std::max(now_ + 0.001, VirtualFleet::when(process, taken.at));
+            if (when == wakes) return;
+            wakes = when;
+            due_.push({when, ++order_, front, process.life, -1, of, ""});
+          } else {
+            took(taken);
+          }
+        },
+        decision);
+}
+
+void VirtualFleet::settle(int front, Of of) {
+  Process& process = processes_[at(front)];
+  const auto nothing = [](const auto&) {};
+  if (of == Of::membership) settle(front);
+  if (of == Of::shares && process.shares)
+    decide(front, *process.shares, of, process.shares_wake, process.shares_load, nothing);
+  if (of == Of::accord && process.accord)
+    decide(front, *process.accord, of, process.accord_wake, process.accord_load, nothing);
+}
+
+// The membership's turn, and where its view has changed, the others'.
 void VirtualFleet::settle(int front) {
   Process& process = processes_[at(front)];
   bool changed = false;
-  for (const membership::Decision& decision : process.core->settle(own(process, now_))) {
-    if (const auto* tell = std::get_if<membership::Tell>(&decision)) {
-      ++process.load.datagrams, process.load.bytes += tell->bytes.size();
-      send(front, tell->to.number, tell->bytes);
-    } else if (const auto* wake = std::get_if<membership::WakeAt>(&decision)) {
-      // Time goes on between two wake-ups, whatever rounding makes of a clock that stands apart.
-      const Millis when = std::max(now_ + 0.001, VirtualFleet::when(process, wake->at));
-      if (when == process.wakes) continue;
-      process.wakes = when;
-      due_.push({when, ++order_, front, process.life, -1, Due::Of::membership, ""});
-    } else if (const auto* change = std::get_if<membership::Change>(&decision)) {
+  decide(front, *process.core, Of::membership, process.wakes, process.load, [&](const auto& taken) {
+    if constexpr (requires { taken.happening; }) {
       changed = true;
-      if (seen_) seen_(now_, front, *change);
-    } else if (const auto* found = std::get_if<membership::Found>(&decision)) {
-      if (found_) found_(now_, front, *found);
+      if (seen_) seen_(now_, front, taken);
+    } else if (found_) {
+      found_(now_, front, taken);
     }
-  }
-  if (!process.shares) return;
-  if (changed) {
-    shares::Fellows fellows;
+  });
+  if (!process.shares && !process.accord) return;
+  std::set<Place> there;
+  if (changed)
     for (const membership::FellowView& fellow : process.core->view().fellows)
-      if (fellow.standing == membership::Standing::there) fellows.there.insert(fellow.place);
-    process.shares->note(std::move(fellows));
-  }
-  if (changed || process.shares_wake == 0) settle_shares(front);
-}
-
-void VirtualFleet::settle_shares(int front) {
-  Process& process = processes_[at(front)];
-  for (const shares::Decision& decision : process.shares->settle(own(process, now_))) {
-    if (const auto* tell = std::get_if<shares::Tell>(&decision)) {
-      ++process.shares_load.datagrams, process.shares_load.bytes += tell->bytes.size();
-      send(front, tell->to.number, tell->bytes);
-    } else if (const auto* wake = std::get_if<shares::WakeAt>(&decision)) {
-      const Millis when = std::max(now_ + 0.001, VirtualFleet::when(process, wake->at));
-      if (when == process.shares_wake) continue;
-      process.shares_wake = when;
-      due_.push({when, ++order_, front, process.life, -1, Due::Of::shares, ""});
-    }
-  }
+      if (fellow.standing == membership::Standing::there) there.insert(fellow.place);
+  if (changed && process.shares) process.shares->note(shares::Fellows{there});
+  if (changed && process.accord) process.accord->note(accord::Fellows{there, size()});
+  if (changed || process.shares_wake == 0) settle(front, Of::shares);
+  if (changed || process.accord_wake == 0) settle(front, Of::accord);
 }
 
-void VirtualFleet::send(int from, int to, const std::string& bytes) {
+void VirtualFleet::send(int from, int to, Of of, const std::string& bytes) {
   if (to < 0 || to >= size() || (passes && !passes(from, to))) return;
   const int copies = network.doubled > 0 && chance() < network.doubled ? 2 : 1;
   for (int copy = 0; copy < copies; ++copy) {
     if (network.loss > 0 && chance() < network.loss) continue;
     const Millis extra = extra_delay ? extra_delay(from, to) : 0;
-    const Due::Of of = shares::is_for_shares(bytes) ? Due::Of::shares : Due::Of::membership;
     due_.push({now_ + network.delay + extra + network.jitter * chance(), ++order_, to, 0, from, of, bytes});
   }
 }
--- a/src/rig/virtual_fleet.hpp
+++ b/src/rig/virtual_fleet.hpp
@@ -1,6 +1,6 @@
-// Many fronts' membership in virtual time, with the faults of a network and of processes: for designs,
-// figures at sizes that one machine's processes don't reach, and tests. One thread, one seed, the same run
-// each time.
+// Many fronts' membership, shares and accord in virtual time, with the faults of a network and of processes:
+// for designs, figures at sizes that one machine's processes don't reach, and tests. One thread, one seed,
+// the same run each time.
 #pragma once
 
 #include <cstdint>
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "accord/accord.hpp"
 #include "membership/membership.hpp"
 #include "shares/shares.hpp"
 
@@ -57,6 +58,11 @@
   // What a process may use now, by its own clock; nothing where it does not run or is stopped.
   shares::Part part(int front) const;
   const shares::Shares* shares(int front) const { return processes_.at(at(front)).shares.get(); }
+  // From their next start on the processes compare what they act on, too.
+  void compare(const accord::Charge& charge) { comparing_ = charge; }
+  void act(int front, const accord::Acts& acts);
+  void confirm(int front);  // discovery speaks to it
+  const accord::Accord* accord(int front) const { return processes_.at(at(front)).accord.get(); }
   // Called after each step with the time.
   std::function<void(Millis)> stepped;
 
@@ -76,39 +82,49 @@
   std::string name_of(int front) const { return processes_.at(at(front)).name; }
   Load load(int front) const { return processes_.at(at(front)).load; }
   Load shares_load(int front) const { return processes_.at(at(front)).shares_load; }
+  Load accord_load(int front) const { return processes_.at(at(front)).accord_load; }
   // Whether each front that is up holds each other that is up for there, and nobody else for here.
   bool agreed() const;
 
  private:
+  enum class Of { membership, shares, accord, refusal };
   struct Process {
     std::string name;
     std::unique_ptr<membership::Membership> core;
     std::unique_ptr<shares::Shares> shares;
+    std::unique_ptr<accord::Accord> accord;
     double rate = 1;
     Millis born = 0;
-    Millis shares_wake = 0;
-    std::vector<shares::Heard> shares_waiting;
     int life = 0;  // datagrams and wake-ups of an earlier one come to nothing
-    Millis wakes = 0, apart = 0;
+    Millis apart = 0, wakes = 0, shares_wake = 0, accord_wake = 0;
     bool stopped = false;
-    std::vector<membership::Heard> waiting;  // while it is stopped, as in a socket
+    struct Datagram {
+      Of of = Of::membership;
+      int from = 0;
+      std::string bytes;
+    };
+    std::vector<Datagram> waiting;  // while it is stopped, as in a socket
     std::string last;
-    Load load, shares_load;
+    Load load, shares_load, accord_load;
   };
   struct Due {
     Millis at = 0;
     std::uint64_t order = 0;
     int front = 0, life = 0, from = -1;  // below 0: a wake-up
-    enum class Of { membership, shares, refusal } of = Of::membership;
+    Of of = Of::membership;
     std::string bytes;
     bool operator>(const Due& other) const { return std::pair(at, order) > std::pair(other.at, other.order); }
   };
   static std::size_t at(int front) { return static_cast<std::size_t>(front); }
   double chance() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }
+  // What one core has decided: datagrams and its next turn are alike for all, the rest is taken.
+  template <typename Core, typename Took>
+  void decide(int front, Core& core, Of of, Millis& wakes, Load& load, Took took);
   void settle(int front);
-  void settle_shares(int front);
-  void hear_shares(int front, int from, const std::string& bytes);
-  void send(int from, int to, const std::string& bytes);
+  void settle(int front, Of of);
+  void note(int front, Of of, int from, const std::string& bytes);
+  void hear(int front, Of of, int from, const std::string& bytes);
+  void send(int from, int to, Of of, const std::string& bytes);
   // The process' own time, and when that will be.
   static Millis own(const Process& process, Millis now) {
     return process.born + (now - process.born) * process.rate + process.apart;
@@ -120,6 +136,7 @@
   const membership::Charge charge_;
   const Maker maker_;
   std::optional<shares::Charge> sharing_;
+  std::optional<accord::Charge> comparing_;
   std::minstd_rand random_;
   std::vector<Process> processes_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
