Fellows that are there anew are asked next, so halves that meet hear from one another at once

Examined: the membership (merged within 5 s) and what is held of whom the membership does not know yet (tried, no gain, undone). At fault: ask(), which ends its round of the own half, one a pace, before any of the other half is in it. Change: who is there anew goes to the front of the round. An answer counts only for the kind of question that it answers.

--- a/src/accord/accord.cpp
+++ b/src/accord/accord.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <tuple>
 #include <utility>
 
 namespace reedspindle::accord {
@@ -82,7 +83,8 @@
       return tell(heard.from, Kind::leave, message->number, std::move(leave));
     }
     // Guards against a word that took long: it is dated by when it was asked for, not by when it came.
-    const auto asked = std::ranges::find(asked_, std::pair(message->number, heard.from), &Asked::what);
+    const auto asked =
+        std::ranges::find(asked_, std::tuple(message->number, heard.from, message->kind), &Asked::what);
     if (asked == asked_.end()) return void(++dropped_);
     hold(heard.from, message->account, asked->at);
     if (message->word_age >= 0) word_at_ = std::max(word_at_, asked->at - message->word_age);
@@ -92,7 +94,15 @@
       if (ready_.contains(mark)) doubted_[mark] = now_ + charge_.pace * kDoubtPaces;
   }
 
-  void take(const Fellows& fellows) { there_ = fellows.there, counted_ = fellows.counted; }
+  // Who is there anew is asked next: two halves that meet would else each end their rounds among themselves.
+  void take(const Fellows& fellows) {
+    std::vector<Place> anew;
+    std::ranges::set_difference(fellows.there, there_, std::back_inserter(anew));
+    std::erase_if(round_, [&anew](Place place) { return std::ranges::binary_search(anew, place); });
+    std::shuffle(anew.begin(), anew.end(), random_);
+    round_.insert(round_.end(), anew.begin(), anew.end());
+    there_ = fellows.there, counted_ = fellows.counted;
+  }
 
   void take(const Acts& acts) {
     for (int matter = 0; matter < kMatters; ++matter)
@@ -127,7 +137,7 @@
           marks.push_back(checked_ = *next);
         }
         const Place whom = ahead[random_() % ahead.size()];
-        note_asked(whom);
+        note_asked(whom, Kind::leave);
         tell(whom, Kind::checks, number_, std::move(marks));
       }
     }
@@ -206,12 +216,12 @@
       if (!round_.empty()) whom = round_.back(), round_.pop_back();
     }
     if (!whom) return;
-    note_asked(*whom);
+    note_asked(*whom, Kind::answers);
     tell(*whom, Kind::asks, number_);
   }
 
-  void note_asked(Place whom) {
-    asked_.push_back({{++number_, whom}, now_});
+  void note_asked(Place whom, Kind answer) {
+    asked_.push_back({{++number_, whom, answer}, now_});
     if (asked_.size() > kAsked) asked_.pop_front();
   }
 
@@ -253,7 +263,7 @@
   double chance() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }
 
   struct Asked {
-    std::pair<std::uint32_t, Place> what;
+    std::tuple<std::uint32_t, Place, Kind> what;  // the kind of its answer
     Millis at = 0;
   };
   const Charge charge_;
--- a/tests/accord.cpp
+++ b/tests/accord.cpp
@@ -15,6 +15,7 @@
 using reedspindle::Millis;
 
 std::map<Place, std::uint32_t> asked;  // the last question to each
+std::map<Place, Account> said;         // by each, last
 
 void print(const Tell& tell) {
   const auto message = message_in(tell.bytes);
@@ -106,6 +107,7 @@
       Message message{word == "check" ? Kind::checks : Kind::leave, 1, {}, {}, -1, {}};
       line >> message.place.number;
       message.number = asked[message.place];
+      if (word == "leave") message.account = said[message.place];
       if (word == "check") line >> message.account.revision;
       for (std::uint32_t mark = 0; line >> mark;) message.marks.push_back(mark);
       accord->note(Heard{message.place, bytes_of(message)});
@@ -116,6 +118,7 @@
       Message message{
           word == "ask" ? Kind::asks : Kind::answers, asked[{place}], {place}, account_in(line), -1, {}};
       if (!(line >> message.word_age)) message.word_age = -1;
+      said[{place}] = message.account;
       accord->note(Heard{{place}, bytes_of(message)});
     } else if (word == "as") {  // "as 2 ask 3": in another's name
       int other = 0;
