Read once more: places that are there read in one place, derived sums and dead members gone

Who is there was picked out of the membership's view in three places (Tier, VirtualFleet, VirtualSteering): there_in. Telling the accord who counts stood twice in Tier; which waits go by the accord stood in plan and rig; the rig kept a sum beside its parts; compare() took an optional that was always there; VirtualSteering::now was called by nobody.

--- a/bench/keepers.cpp
+++ b/bench/keepers.cpp
@@ -55,9 +55,8 @@
   print("10 % of datagrams lost, 10 s", fleet.run(10000));
   fleet.loss(0);
   fleet.run(10000);
-  Probing stopped;
   for (int front = 0; front < n; front += 10) fleet.stop(front);
-  stopped = fleet.run(3000);
+  const Probing stopped = fleet.run(3000);
   for (int front = 0; front < n; front += 10) fleet.wake(front);
   print("one in ten stopped, 3 s", stopped);
   print("they wake, 2 s", fleet.run(2000));
--- a/src/front/tier.cpp
+++ b/src/front/tier.cpp
@@ -118,23 +118,23 @@
   turn(shares_);
 }
 
-void Tier::compare(std::optional<accord::Event> event) {
-  if (event) accord_.core->note(std::move(*event));
+void Tier::compare(accord::Event event) {
+  accord_.core->note(std::move(event));
   turn(accord_);
 }
 
-std::set<membership::Place> Tier::there() const {
-  std::set<membership::Place> there;
-  for (const membership::FellowView& fellow : membership_.core->view().fellows)
-    if (fellow.standing == membership::Standing::there) there.insert(fellow.place);
-  return there;
-}
+std::set<membership::Place> Tier::there() const { return membership::there_in(membership_.core->view()); }
 
-// The membership's view has changed, or how many count.
+// The membership's view has changed.
 void Tier::tell_fellows() {
-  const std::set<membership::Place> there = this->there();
-  if (shares_.core) share(shares::Fellows{there});
-  if (accord_.core) compare(accord::Fellows{there, shares_.core ? part_.among : places_});
+  if (shares_.core) share(shares::Fellows{there()});
+  tell_who_counts();
+}
+
+// That, or how many count.
+void Tier::tell_who_counts() {
+  if (!accord_.core) return;
+  compare(accord::Fellows{there(), shares_.core ? part_.among : places_});
   tell_module();
 }
 
@@ -198,10 +198,7 @@
   limit_ = shares::connections_of(decision.part, *sharing_, connections_);
   members_.limit(limit_.open, limit_.hold);
   log_.debug("shares", "part", {{"open", decision.part.open}, {"hold", decision.part.hold}});
-  if (counts && accord_.core) {
-    compare(accord::Fellows{there(), part_.among});
-    tell_module();
-  }
+  if (counts) tell_who_counts();
   write_later();
 }
 
--- a/src/front/tier.hpp
+++ b/src/front/tier.hpp
@@ -53,7 +53,7 @@
   void share(std::optional<shares::Event> event);
   void carry_out(const shares::Found& decision);
   void carry_out(const shares::Changed& decision);
-  void compare(std::optional<accord::Event> event);
+  void compare(accord::Event event);
   void carry_out(const accord::Found& decision);
   void carry_out(const accord::Allowed& decision);
   void carry_out(const accord::Doubted& decision);
@@ -61,6 +61,7 @@
   void tell_need();
   void tell_acts();
   void tell_fellows();
+  void tell_who_counts();
   void tell_module();
   void write_later();
   void write_status();
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -634,6 +634,13 @@
   return words[static_cast<int>(happening)];
 }
 
+std::set<Place> there_in(const View& view) {
+  std::set<Place> there;
+  for (const FellowView& fellow : view.fellows)
+    if (fellow.standing == Standing::there) there.insert(fellow.place);
+  return there;
+}
+
 std::unique_ptr<Membership> make_membership(const Charge& charge, std::uint64_t seed) {
   return std::make_unique<Watch>(charge, seed);
 }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -86,6 +87,9 @@
   Dropped dropped;
 };
 
+// Places of those that are there.
+std::set<Place> there_in(const View& view);
+
 class Membership {
  public:
   virtual ~Membership() = default;
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -78,6 +78,10 @@
 
 }  // namespace
 
+bool of_accord(const std::string& until) {
+  return until == "accord" || until == "differs" || until == "cut-off";
+}
+
 Plan plan_in(const operators::File& file, const std::string& path) {
   Plan plan;
   plan.fronts = file.values["fronts"], plan.seed = file.values["seed"], plan.longest = file.values["longest"];
@@ -139,7 +143,7 @@
       fault("'stores' goes with what strikes stores, who need it, and with cut, slow, limit and reset");
     if (step.of.empty() != (step.until == "now" || step.until == "agreed" || step.until == "accord"))
       fault("'of' goes with until there, failed, left, yielded, differs or cut-off, and they need it");
-    if (plan.accord.empty() && (step.until == "accord" || step.until == "differs" || step.until == "cut-off"))
+    if (plan.accord.empty() && of_accord(step.until))
       fault("until accord, differs or cut-off needs (fleet (accord ...))");
     if (!step.name.empty() && (step.fault != "start" || step.fronts.size() != 1))
       fault("'name' goes with the start of one front");
--- a/src/rig/plan.hpp
+++ b/src/rig/plan.hpp
@@ -49,6 +49,8 @@
   std::vector<Step> steps;
 };
 
+// Whether that is waited for by what fronts say of their accord.
+bool of_accord(const std::string& until);
 // Throws operators::Faulty.
 Plan plan_in(const operators::File& file, const std::string& path);
 // Faults drawn by chance, each for a while, then all of them mended and all agreeing again. The same seed,
--- a/src/rig/rig.cpp
+++ b/src/rig/rig.cpp
@@ -288,7 +288,7 @@
   // Up to now, for clients ask on; the few ops that are open count as sends only.
   const int over = surroundings_->between(from, clock_.now()).ops();
   const double sends =
-      static_cast<double>(surroundings_->asked().sends - counted_first_.sends) / std::max(1, over);
+      static_cast<double>(surroundings_->asked().sends() - counted_first_.sends()) / std::max(1, over);
   if (step.sends > 0 && sends > step.sends)
     return fmt::format("{:.2f} sends for each of {} ops, {:.2f} are allowed", sends, over, step.sends);
   if (tally.share(Came::in_time) >= step.acked) return "";
@@ -340,7 +340,7 @@
       continue;
     }
     if (status["yielded"].get<bool>()) continue;  // out of the fleet
-    if (step.until == "accord" || step.until == "differs" || step.until == "cut-off") {
+    if (of_accord(step.until)) {
       if (step.until != "accord" && !step.of.contains(front)) continue;
       if (std::string why = accord(front, step); !why.empty()) return why;
       continue;
@@ -475,9 +475,9 @@
     const Millis now = clock_.now();
     const Tally tally = surroundings_->between(now - spent_, now);
     text += fmt::format(", {} ops", tally.ops());
-    text +=
-        fmt::format(", most connections {}, at most {:.1f} probes/s of a store, {:.1f} calls/s, {} sends",
-                    most_, most_probes_, most_calls_, surroundings_->asked().sends - counted_first_.sends);
+    text += fmt::format(", most connections {}, at most {:.1f} probes/s of a store, {:.1f} calls/s, {} sends",
+                        most_, most_probes_, most_calls_,
+                        surroundings_->asked().sends() - counted_first_.sends());
     for (const auto& [came, count] : tally.came) text += fmt::format(" {} {}", word_of(came), count);
   }
   return text;
--- a/src/rig/surroundings.cpp
+++ b/src/rig/surroundings.cpp
@@ -261,9 +261,12 @@
 
 std::vector<rules::Broken> Surroundings::settle() { return rules_.settle(clock_.now()); }
 
+std::uint64_t Surroundings::Asked::sends() const {
+  return std::accumulate(sends_to.begin(), sends_to.end(), std::uint64_t{0});
+}
+
 Surroundings::Asked Surroundings::asked() const {
-  Asked asked{stores_.probes(), std::accumulate(sends_to_.begin(), sends_to_.end(), std::uint64_t{0}), 0,
-              sends_to_};
+  Asked asked{stores_.probes(), 0, sends_to_};
   for (const auto& agent : agents_) asked.calls += agent->calls();
   return asked;
 }
--- a/src/rig/surroundings.hpp
+++ b/src/rig/surroundings.hpp
@@ -46,8 +46,9 @@
   int connections(int store, const std::set<int>& without) const;
   // By the fronts, since the run began.
   struct Asked {
-    std::uint64_t probes = 0, sends = 0, calls = 0;  // stores, stores, discovery
-    std::vector<std::uint64_t> sends_to;             // each store
+    std::uint64_t probes = 0, calls = 0;  // stores; discovery
+    std::vector<std::uint64_t> sends_to;  // each store
+    std::uint64_t sends() const;
   };
   Asked asked() const;
   std::size_t open_ops() const { return clients_.open(); }
--- a/src/rig/virtual_fleet.cpp
+++ b/src/rig/virtual_fleet.cpp
@@ -196,9 +196,7 @@
   });
   if (!process.shares && !process.accord) return;
   std::set<Place> there;
-  if (changed)
-    for (const membership::FellowView& fellow : process.core->view().fellows)
-      if (fellow.standing == membership::Standing::there) there.insert(fellow.place);
+  if (changed) there = membership::there_in(process.core->view());
   if (changed && process.shares) process.shares->note(shares::Fellows{there});
   if (changed && process.accord) process.accord->note(accord::Fellows{there, size()});
   if (changed || process.shares_wake == 0) settle(front, Of::shares);
--- a/src/rig/virtual_steering.cpp
+++ b/src/rig/virtual_steering.cpp
@@ -84,8 +84,7 @@
   const Millis now = fleet_.now();
   if (std::exchange(front.changed, false) && stage_.by_view) {
     AmongPeers among;
-    for (const membership::FellowView& fellow : fleet_.view(number).fellows)
-      if (fellow.standing == membership::Standing::there) among.there.insert(fellow.place.number);
+    for (const Place place : membership::there_in(fleet_.view(number))) among.there.insert(place.number);
     const Event event(std::in_place_type<AmongPeers>, std::move(among));
     front.router->note(event);
   }
--- a/src/rig/virtual_steering.hpp
+++ b/src/rig/virtual_steering.hpp
@@ -42,7 +42,6 @@
   void heal() { cut_.clear(); }
   void loss(double share) { fleet_.network.loss = share; }
   Probing run(Millis span);
-  Millis now() const { return fleet_.now(); }
 
  private:
   struct Front {
