A query counts as out once its last byte is, and a repeat is not begun too late

Members::begin left the writing to async_write and set written in its handler, which runs a turn later. What breaks the connection may be read before that: noise right behind the answer to the settling query stands in the same segment, is parsed in the loop that has just begun the query, and Members::spoilt took the attempt for one that never ran (connect_failed), although all of it was in the kernel. A write that must not run twice was sent again. The module checked the window for repeats when it decided; the attempt then waited for its connection (up to connectTimeout, 250 ms and more), and was begun after the stores had forgotten the first. Send carries start_within, and what is overdue is ended as never sent, also after the process was put aside.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -184,7 +184,7 @@
   const auto found = ops_.find(decision.op);
   if (found == ops_.end()) return;  // noted as gone
   Op& op = found->second;
-  members_.send(decision.op, {op.sends++}, decision.member, decision.time_out, op.text, op.patience);
+  members_.send(decision.op, decision, {op.sends++}, op.text, op.patience);
 }
 void Front::carry_out(const CallOff& decision) { members_.call_off(decision.op, decision.send); }
 void Front::carry_out(const BusyReply& decision) {
--- a/src/links/members.cpp
+++ b/src/links/members.cpp
@@ -46,7 +46,8 @@
   std::shared_ptr<const std::string> text;  // of the statement, none for a probe
   pgwire::Place patience;
   Millis from = 0, until = 0;
-  Timers::Handle limit;
+  Millis start_by = 0;       // it is not begun later
+  Timers::Handle limit;      // start_by while it waits, then until
   Connection* on = nullptr;  // none: it waits for a connection
   // What has come of the answer.
   Sighting seen;
@@ -124,14 +125,14 @@
   return connection.store.state != MemberState::ready || connection.opened < connection.store.up_since;
 }
 
-void Members::send(OpId op, SendNumber number, const MemberId& member, Millis time_out,
-                   std::shared_ptr<const std::string> text, pgwire::Place patience) {
+void Members::send(OpId op, const Send& decision, SendNumber number, std::shared_ptr<const std::string> text,
+                   pgwire::Place patience) {
   auto work = std::make_unique<Work>();
   work->send = {op, number};
   work->text = std::move(text);
   work->patience = patience;
   sends_[{op, number}] = work.get();
-  add(*stores_.at(member), std::move(work), time_out);
+  add(*stores_.at(decision.member), std::move(work), decision.time_out, decision.start_within);
 }
 
 void Members::probe(const MemberId& member, Millis time_out) {
@@ -145,11 +146,13 @@
   stores_.erase(member);
 }
 
-void Members::add(Store& store, std::unique_ptr<Work> work, Millis time_out) {
+void Members::add(Store& store, std::unique_ptr<Work> work, Millis time_out,
+                  std::optional<Millis> start_within) {
   work->store = &store;
   work->from = clock_.now();
   work->until = work->from + time_out;
-  work->limit = timers_.set(work->until, [this, late = work.get()] { out_of_time(*late); });
+  work->start_by = work->from + std::min(time_out, start_within.value_or(time_out));
+  work->limit = timers_.set(work->start_by, [this, late = work.get()] { out_of_time(*late); });
   store.waiting.push_back(std::move(work));
   dispatch(store);
 }
@@ -217,16 +220,28 @@
   if (store.waiting.size() > store.coming) end(take_first(store), ending);
 }
 
+// Written at once as far as the system takes it, so that at every later moment it is known whether the
+// query's last byte is out. Guards against taking a query for one that never ran because what broke its
+// connection was read before the end of the writing was told: a second attempt would have its effect twice.
 void Members::begin(Connection& connection, std::unique_ptr<Work> work) {
   connection.state = Connection::State::busy;
-  connection.written = false;
   work->on = &connection;
+  timers_.drop(work->limit);
+  work->limit = timers_.set(work->until, [this, late = work.get()] { out_of_time(*late); });
   connection.out = pgwire::query(
       work->send ? pgwire::with_patience(*work->text, work->patience, work->until - clock_.now())
                  : "SHOW vitals");
-  const Work* of = work.get();
   connection.work = std::move(work);
-  asio::async_write(connection.socket, asio::buffer(connection.out),
+  asio::error_code fault;
+  const std::size_t count = connection.socket.write_some(asio::buffer(connection.out), fault);
+  connection.written = count == connection.out.size();
+  if (fault && fault != asio::error::would_block) return broken(connection);
+  if (!connection.written) write_rest(connection, count);
+}
+
+void Members::write_rest(Connection& connection, std::size_t written) {
+  const Work* of = connection.work.get();
+  asio::async_write(connection.socket, asio::buffer(connection.out) + written,
                     [this, of, held = *connection.place](const asio::error_code& fault, std::size_t) {
                       if (held->work.get() != of) return;
                       held->written = !fault;
@@ -250,10 +265,11 @@
                                              pgwire::read_from_store(connection->buffer.held());
                                          if (std::holds_alternative<pgwire::Partial>(next)) break;
                                          const auto* message = std::get_if<pgwire::Message>(&next);
+                                         // Its bytes stay where they are until there is room for more.
+                                         if (message) connection->buffer.consume(message->bytes.size());
                                          const bool fits = message && take(*connection, *message);
                                          if (connection->state == Connection::State::given_back) return;
                                          if (!fits) return spoilt(*connection);
-                                         connection->buffer.consume(message->bytes.size());
                                        }
                                        if (fault) return broken(*connection);
                                        read(connection);
@@ -333,6 +349,8 @@
 // Guards against a second copy being taken for the next op's answer, and ops against connections that have
 // been ended without a word.
 void Members::settle(Connection& connection) {
+  // Half a line that was left there: it would swallow the answer.
+  if (!connection.buffer.held().empty()) return void(give_back(connection));
   std::erase(connection.store.idle, &connection);
   connection.state = Connection::State::settling;
   ++connection.store.coming;
@@ -349,11 +367,19 @@
                     [held](const asio::error_code&, std::size_t) {});  // the read sees what breaks
 }
 
+// Guards against beginning what is late by now: a connection that took long to come up, or a process that was
+// put aside, where connections speak before timers are looked at.
+void Members::end_overdue(Store& store) {
+  while (!store.waiting.empty() && store.waiting.front()->start_by < clock_.now())
+    end(take_first(store), Ending::never_sent);
+}
+
 // The connection may take a send or a probe now.
 void Members::ready(Connection& connection) {
   --connection.store.coming;
   timers_.drop(connection.limit);
   Store& store = connection.store;
+  end_overdue(store);
   if (store.waiting.empty() || outlived(connection)) return rest(connection);
   begin(connection, take_first(store));
 }
--- a/src/links/members.hpp
+++ b/src/links/members.hpp
@@ -33,8 +33,8 @@
   ~Members();
 
   void learn(const StoreList& list);
-  void send(OpId op, SendNumber number, const MemberId& member, Millis time_out,
-            std::shared_ptr<const std::string> text, pgwire::Place patience);
+  void send(OpId op, const Send& decision, SendNumber number, std::shared_ptr<const std::string> text,
+            pgwire::Place patience);
   void call_off(OpId op, SendNumber number);
   // The op has ended: what is not written of it yet never will be.
   void forget(OpId op);
@@ -55,11 +55,13 @@
   struct Connection;
   using Connected = std::shared_ptr<Connection>;
 
-  void add(Store& store, std::unique_ptr<Work> work, Millis time_out);
+  void add(Store& store, std::unique_ptr<Work> work, Millis time_out,
+           std::optional<Millis> start_within = {});
   void dispatch(Store& store);
   void open(Store& store);
   void opened_not(Connection& connection, Ending ending);
   void begin(Connection& connection, std::unique_ptr<Work> work);
+  void write_rest(Connection& connection, std::size_t written);
   void read(const Connected& connection);
   bool take(Connection& connection, const pgwire::Message& message);
   static bool outlived(const Connection& connection);
@@ -72,6 +74,7 @@
   std::unique_ptr<Work> take_waiting(Work& work);
   void end(std::unique_ptr<Work> work);
   void end(std::unique_ptr<Work> work, Ending ending);
+  void end_overdue(Store& store);
   void ready(Connection& connection);
   void rest(Connection& connection);
   std::unique_ptr<Work> give_back(Connection& connection);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -677,7 +677,7 @@
     const OpType& type = type_of(op.type);
     const bool ran = op.may_have_run != kNever;
     const Millis useful_until = type.late_value > 0 ? op.end : std::min(op.end, op.wanted_by);
-    const bool remembered = type.effect == Effect::tokened && now_ < op.may_have_run + type.token_memory - 50;
+    const bool remembered = type.effect == Effect::tokened && memory_left(op) > 0;
     const bool cut_off = among_ && !(type.primary_only() ? among_->writes : among_->reads);
     const bool again = op.sends > op.turned_away;  // untouched sends cost the store nothing
     const bool may_send = op.sends < most_sends_ && !cut_off && !(again && resends_ < 1) &&
@@ -702,6 +702,10 @@
     if (warmth(*to) < 1) to->credit -= 1;
     to->turn = ++turn_;
   }
+  // For how long stores still know a repeat of what may have run. It may be on its way for 50 ms.
+  Millis memory_left(const Op& op) const {
+    return op.may_have_run + type_of(op.type).token_memory - 50 - now_;
+  }
   const double resend_share_ = catalog_.number("resends.share"),
                burst_ = std::max(1.0, catalog_.number("resends.burst", 100) / all_);
   double resends_ = burst_;  // that may be sent now
@@ -752,12 +756,13 @@
     group.touched = group.asked = false;
   }
 
-  // Calls are spread, for the list is one service for all: 25 ms apart, within what the rule allows.
+  // Calls are spread, for the list is one service for all: 25 ms apart, at most over a quarter of the time in
+  // which the rule wants one, so that a call that was lost, the wait and the next call fit into 6 s.
   void decide_list() {
     if (next_watch_ == kNever) next_watch_ = now_ + spread();
     want_watch_ = ask_ && now_ >= next_watch_;
   }
-  Millis spread() { return roll() * std::min(25 * (instances_ - 1), ask_within_ / 2); }
+  Millis spread() { return roll() * std::min(25 * (instances_ - 1), ask_within_ / 4); }
   const bool ask_ = catalog_.word("list", "push") == "ask";
   const Millis ask_within_ = catalog_.number("rule.ask_within", 10000);
 
@@ -778,7 +783,10 @@
     }
     for (auto& [id, op] : ops_) {
       if (op.want == Want::send) {
-        out.push_back(Send{id, op.to->entry.member, op.end - now_});
+        // Guards against a repeat that waits for its connection until the first attempt is forgotten.
+        const bool repeats = op.may_have_run != kNever && type_of(op.type).effect == Effect::tokened;
+        out.push_back(Send{id, op.to->entry.member, op.end - now_,
+                           repeats ? std::optional(memory_left(op)) : std::nullopt});
         flights_[{id, {op.sends}}] = {op.to, op, now_};
         ++op.sends, ++op.out;
       }
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -139,6 +140,8 @@
   OpId op;
   MemberId member;
   Millis time_out = 0;
+  // Not to be begun later than that, for as long as it takes to connect; none: up to time_out.
+  std::optional<Millis> start_within = std::nullopt;
 };
 struct CallOff {
   OpId op;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -57,6 +57,7 @@
   std::string address;
   int listening = -1;
   std::string manner = "welcomes", vitals;
+  std::string behind_empty;  // what follows the next answer to an empty query, in the same segment
   std::deque<Link> links;
   std::deque<std::string> gets;
 };
@@ -200,6 +201,14 @@
       peer(what, remainder(line));
     } else if (who == "stop") {
       kill(child_, SIGTERM);
+    } else if (who == "pause") {
+      kill(child_, SIGSTOP);
+    } else if (who == "resume-after") {  // so many ms from the pause or more: what is due then is due
+      int milliseconds = 0;
+      line >> milliseconds;
+      const auto due = std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
+      wait_for("the time", [&] { return std::chrono::steady_clock::now() >= due; });
+      kill(child_, SIGCONT);
     } else if (who == "reload") {
       write_placement(remainder(line));
       kill(child_, SIGHUP);
@@ -361,7 +370,7 @@
         if (store.manner == "full")
           put(link.fd, pgwire::error(pgwire::Severity::fatal, "53300", "too many connections"));
       } else if (text.empty()) {
-        put(link.fd, pgwire::empty_answer());
+        put(link.fd, pgwire::empty_answer() + std::exchange(store.behind_empty, ""));
       } else if (text == "SHOW vitals") {
         put(link.fd, row_of(with_now(store.vitals, true)) + pgwire::ready());
       } else {
@@ -408,6 +417,16 @@
     }
     if (what == "asks") put(clients_[name].fd, pgwire::query(with_now(rest)));
     if (what == "sends") put(clients_[name].fd, unescaped(rest));
+    if (what == "asks-many") {  // "asks-many 3 TEXT": a number each in the place of NUMBER
+      const std::size_t space = rest.find(' ');
+      std::string all;
+      for (int i = 0; i < std::stoi(rest); ++i) {
+        std::string text = rest.substr(space + 1);
+        all += pgwire::query(text.replace(text.find("NUMBER"), 6, std::to_string(i)));
+      }
+      put(clients_[name].fd, all);
+    }
+    if (what == "hangs-up") shutdown(clients_[name].fd, SHUT_WR);
     if (what == "sends-long") put(clients_[name].fd, pgwire::query(std::string(std::stoul(rest), 'x')));
     if (what == "sends-often") {
       const std::size_t space = rest.find(' ');
@@ -459,6 +478,19 @@
       std::cout << "  " << checked(store.gets.front()) << '\n';
       return store.gets.pop_front();
     }
+    if (what == "gets-many") {  // "gets-many 64": so many sends have come
+      std::size_t count = 0;
+      line >> count;
+      wait_for("so many sends", [&] { return store.gets.size() >= count; });
+      store.gets.erase(store.gets.begin(), store.gets.begin() + static_cast<std::ptrdiff_t>(count));
+      return;
+    }
+    if (what == "adds") return void(store.behind_empty = unescaped(remainder(line)));
+    if (what == "greets") {  // those that it let hang
+      for (Link& at : store.links)
+        if (at.started && !at.ended) put(at.fd, pgwire::welcome());
+      return;
+    }
     if (what == "tells") return void(store.vitals = remainder(line));
     if (what == "drops") {  // every connection, without a word until something is sent there
       for (Link& at : store.links) at.dropped = true;
@@ -571,6 +603,7 @@
   }
 
   void discovery(const std::string& what, const std::string& rest) {
+    if (what == "adds") return void(behind_list_ = unescaped(rest));  // to the next answer, in one segment
     if (what == "tells" || what == "says") renew_discovery();
     if (what == "gets") {
       wait_for("a call", [&] { return called(); });
@@ -583,8 +616,8 @@
       line >> rev >> kind >> name >> state;
       if (!state.empty()) rows_.at(name)["state"] = state;
       const std::string body = list_of(rev, kind == "all", name);
-      put(discovery_.fd,
-          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+      put(discovery_.fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                             body + std::exchange(behind_list_, ""));
     } else if (what == "says") {
       put(discovery_.fd, unescaped(rest));
     } else if (what == "moves") {  // the old address takes no new connections, what is open there stays
@@ -606,6 +639,7 @@
   const std::string program_;
   Json placement_;
   std::string listen_, path_, said_;
+  std::string behind_list_;
   int discovery_listening_ = -1, errors_ = -1, peer_ = -1, file_ = -1;
   pid_t child_ = 0;
   std::vector<int> floods_;
