--- a/src/links/list.cpp
+++ b/src/links/list.cpp
@@ -144,6 +144,8 @@
   discovery_ = discovery;
   whole_ = true;
   give_back();
+  // Also where the module says when to ask: it would be told of the failed call to the old address first.
+  watching_ = watching_ || placement_.list_is_asked;
   if (watching_) ask();
 }
 
@@ -173,12 +175,16 @@
 void List::ask() {
   again_.reset();
   asked_ = clock_.now();
+  // After a failed call the next one does not wait for news, so that its own loss shows a wait earlier: a
+  // change counts as told 6 s after discovery can be reached again, and a call that was lost just before
+  // that, the time until the next one and that call have to fit into it.
+  const Millis wait = whole_ || failing_ ? 0 : kWait;
   const std::string path = whole_
                                ? "/discovery/hosts"
-                               : fmt::format("/discovery/hosts?since={}&timeout_ms={:.0f}", revision_, kWait);
+                               : fmt::format("/discovery/hosts?since={}&timeout_ms={:.0f}", revision_, wait);
   const std::string text = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
                                        path, text_of(discovery_));
-  limit_ = timers_.set(clock_.now() + (whole_ ? 0 : kWait) + kLost, [this] {
+  limit_ = timers_.set(clock_.now() + wait + kLost, [this] {
     limit_.reset();
     failed("no answer in time");
   });
@@ -240,7 +246,9 @@
     return failed(fault.what());
   }
   http_parser_pause(&call.parser, 0);
-  if (!http_should_keep_alive(&call.parser)) give_back();
+  // What stands behind the answer belongs to none that was asked for. Guards against taking it, an older list
+  // or half a line, for the answer to the next call.
+  if (!http_should_keep_alive(&call.parser) || !call.buffer.held().empty()) give_back();
   if (list.kind == ListKind::changes && list.revision < revision_) {
     whole_ = true;  // changes to another list than the one held
     return failed(fmt::format("changes up to {}, while {} is known", list.revision, revision_));
@@ -249,6 +257,7 @@
   // call keeps the distance that a watch allows.
   const bool again = !whole_ && list.revision == revision_ && clock_.now() - asked_ < kNextCall;
   whole_ = false;
+  failing_ = false;
   revision_ = list.revision;
   told_(std::move(list));
   if (!watching_) return;
@@ -258,6 +267,7 @@
 
 void List::failed(const std::string& why) {
   give_back();
+  failing_ = true;
   if (!watching_) return;
   log_.warn("list", "no answer, what is known stays", {{"why", why}});
   // Where the deployment's list is asked for, when to ask again is decided by who is told of this.
--- a/src/links/list.hpp
+++ b/src/links/list.hpp
@@ -67,7 +67,9 @@
   const Placement& placement_;
   const Told told_;
   asio::ip::tcp::endpoint discovery_;
-  bool watching_ = false, whole_ = true;  // whole: the next call asks for the whole list
+  bool watching_ = false;
+  bool whole_ = true;     // the next call asks for the whole list
+  bool failing_ = false;  // the last call had no good answer
   long long revision_ = 0;
   Millis asked_ = 0;
   std::shared_ptr<Call> call_;  // the one owner of the connection to discovery
