Pipelined commands are handled side by side and answered in order

Now up to 64 commands of a connection are in hand; PendingReplies keeps their replies in order and charges those that wait behind others to an allowance. Further, at the places where a shutdown or close can cross bytes: - bytes leave the kernel only in the moment in which they are taken (async_wait and read_some), so that none can be read and then dropped by a close that ran in between; - a connection that has bytes waiting in the kernel is not ended by a stop; a request that comes after the front has stopped listening for good is refused at once (57P03), so that a client that always has one on the way does not keep its connection open up to SIGKILL; - the end of a client that has sent more than is read ahead is seen (POLLRDHUP) within 50 ms.

--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -1,5 +1,7 @@
 #include "front/clients.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -10,8 +12,11 @@
 namespace {
 // What a client may send ahead of its answers: one message of the longest kind.
 constexpr std::size_t kAhead = pgwire::kLongestMessage + 5;
-// The protocol's figures: new connections come for at most so long after SIGTERM, and an op that came up to
-// so long after it has the whole of its time.
+// How many commands of one connection are handled side by side. A command that waits longer than its client
+// does, behind answers to others, is lost; some times what a client sends within one slow answer.
+constexpr std::size_t kPipelined = 64;
+// The protocol's figures: new connections come for at most so long after SIGTERM, and a request that came up
+// to so long after it has the whole of its time.
 constexpr Millis kStillComing = 400, kSpared = 700;
 // No descriptor is left to take a connection with: how soon to look again, and how long a connection that is
 // being ended is read out at most. Both a round trip many times over.
@@ -20,25 +25,30 @@
 // that sends what can't be read is owed a word. Later ones may write slowly, and so may they read.
 constexpr Millis kFirst = 2500, kOwed = 15000;
 // From when on an idle connection may be closed for another (the protocol's figure), and how often that is
-// looked at: some twenty times in that time.
-constexpr Millis kKept = 2000, kLookRound = 100;
+// looked at: half the time after which a client that has closed its connection counts as gone.
+constexpr Millis kKept = 2000, kLookRound = 50;
+// While clients hold more than their usual part, one that has been idle for so long may be closed.
+constexpr Millis kKeptWhenCrowded = 100;
 // Statements in a row that do not read, after which a connection is ended: a client that errs will not get
 // better at full speed.
 constexpr int kFaultsInARow = 8;
 }  // namespace
 
 struct Clients::Connection {
-  Connection(Tcp::socket taken, Allowance& allowance) : socket(std::move(taken)), buffer(allowance) {}
+  Connection(Tcp::socket accepted, Allowance& buffers, Allowance& replies)
+      : socket(std::move(accepted)), buffer(buffers), owed(replies) {}
   Tcp::socket socket;
   Buffer buffer;
-  std::string out, next_out;
-  enum class State { starting, idle, asking, waiting_for_ready, leaving, given_back } state = State::starting;
+  PendingReplies owed;
+  std::string out;  // being written
+  // starting: before the startup message. closing: no more commands are taken, what is owed is still written.
+  // leaving: the sending side is ended, or is about to be, and what still comes is read out.
+  enum class State { starting, open, closing, leaving, given_back } state = State::starting;
   bool writing = false, reading = false, skipping = false, ended = false;
   bool commanded = false;  // a whole command has come
   int faults = 0;          // in a row
   std::size_t read_out = 0;
-  Millis since = 0;  // when it came, was last heard or last answered
-  OpId op;
+  Millis since = 0;                     // when it came, was last heard or last answered
   std::optional<Timers::Handle> limit;  // of what the client owes, or of reading it out
   std::list<Connected>::iterator place;
 
@@ -46,15 +56,16 @@
 };
 
 Clients::Clients(asio::io_context& io, Timers& timers, const Clock& clock, Log& log,
-                 const Placement& placement, Ops& ops)
+                 const Placement& placement, RequestOwner& owner)
     : io_(io),
       timers_(timers),
       clock_(clock),
       log_(log),
       placement_(placement),
-      ops_(ops),
+      owner_(owner),
       acceptor_(io),
-      allowance_(placement.memory / 8) {}
+      allowance_(placement.memory / 8),
+      reply_allowance_(placement.memory / 8) {}
 
 void Clients::listen() {
   acceptor_.open(placement_.listen.protocol());
@@ -66,44 +77,59 @@
   look_round();
 }
 
-// Above a sixth of the descriptors, half of what clients may hold for ops, connections go that have been idle
-// for long, the longest first; above a quarter, any that is idle. Guards usual clients, who may hold no more
-// than their part, against those that ask once and stay: no new connection comes then, for which one would
-// have to give way.
+// Above a sixth of the descriptors, half of what clients may hold for requests, connections go that have been
+// idle for long, the longest first; above a quarter, any that is idle. Guards usual clients, who may hold no
+// more than their part, against those that ask once and stay: no new connection comes then, for which one
+// would have to give way.
 void Clients::look_round() {
   const std::size_t kept = placement_.sockets / 6;
   std::vector<Connected> idle;
-  const Millis long_ago = clock_.now() - (staying() > placement_.sockets / 4 ? kLookRound : kKept);
-  for (const Connected& connection : connections_)
+  std::vector<Connected> gone;
+  const Millis long_ago = clock_.now() - (staying() > placement_.sockets / 4 ? kKeptWhenCrowded : kKept);
+  for (const Connected& connection : connections_) {
     if (connection->commanded && gives_way(*connection) && connection->since < long_ago)
       idle.push_back(connection);
+    const bool unread = !connection->reading && connection->state != Connection::State::leaving;
+    if (unread && hung_up(*connection)) gone.push_back(connection);
+  }
   std::ranges::sort(idle, {}, [](const Connected& connection) { return connection->since; });
   for (const Connected& connection : idle)
     if (staying() > kept) leave(*connection);
+  for (const Connected& connection : gone) left(*connection);
   end_leaving();
   look_ = timers_.set(clock_.now() + kLookRound, [this] { look_round(); });
 }
 
+// Commands are taken from it.
+bool Clients::listens(const Connection& connection) {
+  return connection.state == Connection::State::starting || connection.state == Connection::State::open;
+}
+
 // Nothing is owed on it by either side, and nothing is on its way into the front already.
 bool Clients::gives_way(Connection& connection) {
-  using State = Connection::State;
   asio::error_code fault;
-  return (connection.state == State::starting || connection.state == State::idle) && !connection.writing &&
+  return listens(connection) && !connection.writing && connection.owed.empty() &&
          connection.socket.available(fault) == 0;
 }
 
+// Whether the client has closed a connection that is not read now. Guards against sending on what a client
+// left behind that sent more than is read ahead: the end of its connection lies behind all of that.
+bool Clients::hung_up(Connection& connection) {
+  pollfd look{connection.socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&look, 1, 0) == 1 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Clients::be_ready() {
   if (std::exchange(ready_, true)) return;
-  for (const Connected& connection : connections_) {
-    if (connection->state != Connection::State::waiting_for_ready) continue;
-    connection->state = Connection::State::idle;
-    write(*connection, pgwire::empty_answer());
+  for (const Connected& connection : std::list(connections_)) {
+    connection->owed.complete_readiness(pgwire::empty_answer());
+    flush(*connection);
   }
 }
 
 void Clients::accept() {
   acceptor_.async_accept([this](const asio::error_code& fault, Tcp::socket socket) {
-    if (!fault) taken(std::move(socket));  // also one that came just before a drain stopped listening
+    if (!fault) accepted(std::move(socket));  // also one that came just before a drain stopped listening
     if (!acceptor_.is_open()) return;
     if (!fault) return accept();
     log_.warn("clients", "no connection can be taken", {{"why", fault.message()}});
@@ -114,11 +140,11 @@
   });
 }
 
-void Clients::taken(Tcp::socket socket) {
+void Clients::accepted(Tcp::socket socket) {
   asio::error_code ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
   socket.non_blocking(true, ignored);
-  const auto connection = std::make_shared<Connection>(std::move(socket), allowance_);
+  const auto connection = std::make_shared<Connection>(std::move(socket), allowance_, reply_allowance_);
   connection->since = clock_.now();
   const bool room = staying() < placement_.client_connections() || make_room();
   connection->place = connections_.insert(connections_.end(), connection);
@@ -133,7 +159,9 @@
 }
 
 // Those that are being ended have a share of their own; the first of them has had the most time to read.
+// Once the front takes no more connections, nobody needs their descriptors.
 void Clients::end_leaving() {
+  if (drained_) return;
   while (leaving_ > placement_.leaving_connections())
     give_back(**std::ranges::find(connections_, Connection::State::leaving, &Connection::state_of));
 }
@@ -142,7 +170,8 @@
 // that has been idle or in mid-message longest. Guards usual clients against those that connect and keep
 // silent.
 bool Clients::make_room() {
-  Connection *silent = nullptr, *idle = nullptr;
+  Connection* silent = nullptr;
+  Connection* idle = nullptr;
   for (const Connected& connection : connections_) {
     if (!gives_way(*connection)) continue;
     if (!connection->commanded && connection->buffer.held().empty()) {
@@ -161,31 +190,41 @@
   return true;
 }
 
+// Waits until there is something to read, and reads it in the moment in which it is taken. Guards against
+// bytes that have left the kernel while their connection is being ended: the client could not know that its
+// request was not read.
 void Clients::read(const Connected& connection) {
   using State = Connection::State;
   if (connection->reading || connection->state == State::given_back) return;
-  const bool leaving = connection->state == State::leaving;
-  if (leaving ? connection->read_out > kAhead : connection->buffer.held().size() >= kAhead) return;
+  const bool reads_out = !listens(*connection);
+  if (reads_out ? connection->read_out > kAhead : connection->buffer.held().size() >= kAhead) return;
+  connection->reading = true;
+  connection->socket.async_wait(Tcp::socket::wait_read, [this, connection](const asio::error_code& fault) {
+    connection->reading = false;
+    if (connection->state == State::given_back) return;
+    if (fault) return left(*connection);
+    read_now(connection);
+  });
+}
+
+void Clients::read_now(const Connected& connection) {
   const auto room = connection->buffer.room(2048);
   if (room.empty()) {
     log_.warn("clients", "connection ended", {{"why", "clients make the front hold too much"}});
     return cut_off(*connection);
   }
-  connection->reading = true;
-  connection->socket.async_read_some(asio::buffer(room.data(), room.size()),
-                                     [this, connection](const asio::error_code& fault, std::size_t count) {
-                                       connection->reading = false;
-                                       if (connection->state == State::given_back) return;
-                                       if (fault) return left(*connection);
-                                       if (connection->state == State::leaving) {  // read out, unheard
-                                         connection->read_out += count;
-                                         return read(connection);
-                                       }
-                                       connection->buffer.filled(count);
-                                       connection->since = clock_.now();
-                                       go_on(*connection);
-                                       read(connection);
-                                     });
+  asio::error_code fault;
+  const std::size_t count = connection->socket.read_some(asio::buffer(room.data(), room.size()), fault);
+  if (fault == asio::error::would_block || fault == asio::error::interrupted) return read(connection);
+  if (fault) return left(*connection);
+  if (!listens(*connection)) {  // read out, unheard
+    connection->read_out += count;
+    return read(connection);
+  }
+  connection->buffer.filled(count);
+  connection->since = clock_.now();
+  take_commands(*connection);
+  read(connection);
 }
 
 // What the client owes, with its limit: guards against those that say nothing, stop in mid-message, send
@@ -193,24 +232,31 @@
 void Clients::judge(Connection& connection) {
   using State = Connection::State;
   if (connection.state == State::leaving || connection.state == State::given_back) return;
-  const bool listening = connection.state == State::starting || connection.state == State::idle;
-  const bool owes = connection.writing || (listening && !connection.commanded) ||
-                    (listening && !connection.buffer.held().empty());
+  const bool mid_message = !connection.buffer.held().empty() && connection.owed.size() < kPipelined;
+  const bool owes = connection.writing || (listens(connection) && (!connection.commanded || mid_message));
   if (!owes) timers_.drop(connection.limit);
   if (!owes || connection.limit) return;
   connection.limit =
       timers_.set(clock_.now() + (connection.commanded ? kOwed : kFirst), [this, held = *connection.place] {
         held->limit.reset();
-        if (held->writing) return cut_off(*held);
-        log_.warn("clients", "connection ended", {{"why", "no whole command in time"}});
-        end_with(*held, "57P05", "no whole command in time");
+        limit_passed(*held);
       });
 }
 
-// Takes what is held, one message after the other, for as long as no answer is owed or being written.
-void Clients::go_on(Connection& connection) {
+void Clients::limit_passed(Connection& connection) {
+  if (connection.writing) return cut_off(connection);
+  log_.warn("clients", "connection ended", {{"why", "no whole command in time"}});
+  end_with(connection, "57P05", "no whole command in time");
+}
+
+// Takes the commands that are held, one after the other, up to as many as are handled side by side. One that
+// is answered on the spot ends the turn, which the end of its writing goes on with: a client that sends many
+// such commands at once waits behind the others after each.
+void Clients::take_commands(Connection& connection) {
   using State = Connection::State;
-  while ((connection.state == State::starting || connection.state == State::idle) && !connection.writing) {
+  while (listens(connection) && connection.owed.size() < kPipelined) {
+    if (!connection.reading && connection.buffer.held().size() >= kAhead && hung_up(connection))
+      return left(connection);
     const std::string_view held = connection.buffer.held();
     const bool starting = connection.state == State::starting;
     const pgwire::Read next = starting ? pgwire::read_startup(held) : pgwire::read_from_client(held);
@@ -220,112 +266,160 @@
       return end_with(connection, fault->code, fault->text);
     }
     const pgwire::Message message = std::get<pgwire::Message>(next);
-    connection.commanded = connection.commanded || !starting;
     const std::size_t size = message.bytes.size();
-    take(connection, message);
-    if (connection.state == State::leaving || connection.state == State::given_back) return;
+    connection.commanded = connection.commanded || !starting;
+    const Taken taken = take(connection, message);
+    if (!listens(connection)) return;
     connection.buffer.consume(size);
+    timers_.drop(connection.limit);
+    if (taken == Taken::answered && connection.writing) break;
   }
-  if (connection.state == State::idle && drained_ && connection.buffer.held().empty())
+  const bool at_rest = connection.buffer.held().empty() || refusing_;  // half a command has not been read
+  if (connection.state == State::open && drained_ && at_rest && gives_way(connection))
     return leave(connection);
   judge(connection);
 }
 
-void Clients::take(Connection& connection, const pgwire::Message& message) {
-  using State = Connection::State;
-  if (connection.state == State::starting) {
-    switch (pgwire::startup_kind(message)) {
-      case pgwire::Startup::encryption:
-        return write(connection, "N");
-      case pgwire::Startup::cancel:
-        return leave(connection);
-      case pgwire::Startup::unknown:
-        return end_with(connection, "0A000", "version 3 of the protocol is spoken");
-      case pgwire::Startup::session:
-        connection.state = State::idle;
-        return write(connection, pgwire::welcome());
-    }
+Clients::Taken Clients::take(Connection& connection, const pgwire::Message& message) {
+  if (connection.state == Connection::State::starting) return take_startup(connection, message);
+  if (message.type == 'X') {
+    close_after_replies(connection);
+    return Taken::answered;
   }
-  if (message.type == 'X') return leave(connection);
   if (message.type == 'S') {
     connection.skipping = false;
-    return write(connection, pgwire::ready());
+    return reply(connection, pgwire::ready());
   }
-  if (connection.skipping) return;
+  if (connection.skipping) return Taken::request;
   if (message.type == 'Q') {
     const std::size_t end = message.body.find('\0');
-    if (end + 1 == message.body.size()) return asked(connection, message.body.substr(0, end));
-    return end_with(connection, "08P01", "a query does not end with its text");
+    if (end + 1 == message.body.size()) return take_query(connection, message.body.substr(0, end));
+    end_with(connection, "08P01", "a query does not end with its text");
+    return Taken::answered;
   }
   // The extended protocol: passed over up to its Sync, as the protocol has it after an error.
   connection.skipping = message.type != 'F';
-  write(connection, pgwire::error(pgwire::Severity::error, "0A000", "simple queries only") +
-                        (connection.skipping ? "" : pgwire::ready()));
+  return reply(connection, pgwire::error(pgwire::Severity::error, "0A000", "simple queries only") +
+                               (connection.skipping ? "" : pgwire::ready()));
 }
 
-void Clients::asked(Connection& connection, std::string_view text) {
-  using State = Connection::State;
+Clients::Taken Clients::take_startup(Connection& connection, const pgwire::Message& message) {
+  switch (pgwire::startup_kind(message)) {
+    case pgwire::Startup::encryption:
+      return reply(connection, "N");
+    case pgwire::Startup::session:
+      connection.state = Connection::State::open;
+      return reply(connection, pgwire::welcome());
+    case pgwire::Startup::cancel:
+      close_after_replies(connection);
+      break;
+    case pgwire::Startup::unknown:
+      end_with(connection, "0A000", "version 3 of the protocol is spoken");
+      break;
+  }
+  return Taken::answered;
+}
+
+Clients::Taken Clients::take_query(Connection& connection, std::string_view text) {
   const std::string word = pgwire::first_word(text);
   if (word.empty()) {
-    if (ready_) return write(connection, pgwire::empty_answer());
-    connection.state = State::waiting_for_ready;
-    return;
+    if (ready_) return reply(connection, pgwire::empty_answer());
+    connection.owed.add_readiness();
+    return Taken::answered;
   }
   for (const char* harmless : {"SET", "RESET", "DISCARD"})
-    if (word == harmless) return write(connection, pgwire::completed(harmless) + pgwire::ready());
-  std::optional<pgwire::Fault> fault;
+    if (word == harmless) return reply(connection, pgwire::completed(harmless) + pgwire::ready());
+  return take_statement(connection, text);
+}
+
+Clients::Taken Clients::take_statement(Connection& connection, std::string_view text) {
   const auto read = pgwire::read_statement(text);
-  const OpId op{++last_op_};
+  std::optional<pgwire::Fault> fault;
+  const OpId request{++last_request_};
   if (const auto* statement = std::get_if<pgwire::Statement>(&read))
-    fault = ops_.op_arrived(op, text, *statement);
+    fault = refusing_ ? pgwire::Fault{"57P03", "the front is stopping"}
+                      : owner_.request_arrived(request, text, *statement);
   else
     fault = std::get<pgwire::Fault>(read);
-  if (fault) {
-    log_.warn("clients", "statement turned away", {{"why", fault->text}});
-    if (++connection.faults >= kFaultsInARow) return end_with(connection, fault->code, fault->text);
-    return write(connection,
-                 pgwire::error(pgwire::Severity::error, fault->code, fault->text) + pgwire::ready());
+  if (!fault) {
+    connection.faults = 0;
+    connection.owed.add_request(request);
+    asking_[request] = &connection;
+    return Taken::request;
   }
-  connection.faults = 0;
-  connection.state = State::asking;
-  connection.op = op;
-  asking_[op] = &connection;
+  log_.warn("clients", "statement turned away", {{"why", fault->text}});
+  if (++connection.faults >= kFaultsInARow && !refusing_) {
+    end_with(connection, fault->code, fault->text);
+    return Taken::answered;
+  }
+  return reply(connection,
+               pgwire::error(pgwire::Severity::error, fault->code, fault->text) + pgwire::ready());
 }
 
-void Clients::answer(OpId op, std::string bytes) {
-  const auto found = asking_.find(op);
+void Clients::answer(OpId request, std::string bytes) {
+  const auto found = asking_.find(request);
   if (found == asking_.end()) return;
   Connection& connection = *found->second;
   asking_.erase(found);
-  connection.state = Connection::State::idle;
   connection.since = clock_.now();
-  write(connection, std::move(bytes) + pgwire::ready());
+  static const std::string kNotHeld =
+      pgwire::error(pgwire::Severity::error, "53200", "answers that wait behind others take too much") +
+      pgwire::ready();
+  connection.owed.complete(request, std::move(bytes) + pgwire::ready(), kNotHeld);
+  flush(connection);
 }
 
-// Messages are taken while nothing is being written: what a client makes the front write is one answer at a
-// time, and one that sends many commands at once waits its turn behind the others after each.
-void Clients::write(Connection& connection, std::string bytes) {
-  connection.next_out += bytes;
-  if (connection.writing) return;
+Clients::Taken Clients::reply(Connection& connection, std::string bytes) {
+  connection.owed.add_complete(std::move(bytes));
+  flush(connection);
+  return Taken::answered;
+}
+
+// Writes the replies that are next, unless some are being written.
+void Clients::flush(Connection& connection) {
+  if (connection.writing || connection.state == Connection::State::given_back) return;
+  connection.out = connection.owed.take_complete();
+  if (connection.out.empty()) return;
   connection.writing = true;
-  connection.out = std::exchange(connection.next_out, "");
   asio::async_write(connection.socket, asio::buffer(connection.out),
                     [this, held = *connection.place](const asio::error_code& fault, std::size_t) {
                       held->writing = false;
                       held->out = {};
                       if (held->state == Connection::State::given_back) return;
                       if (fault) return left(*held);
-                      if (!held->next_out.empty()) return write(*held, "");
-                      if (held->state == Connection::State::leaving) return leave(*held);
-                      go_on(*held);
-                      read(held);
+                      written(*held);
                     });
   judge(connection);
 }
 
+void Clients::written(Connection& connection) {
+  const Connected held = *connection.place;
+  if (connection.state == Connection::State::leaving) return leave(connection);
+  timers_.drop(connection.limit);
+  flush(connection);
+  if (connection.state == Connection::State::closing) {
+    if (connection.owed.empty() && !connection.writing) leave(connection);
+    return;
+  }
+  take_commands(connection);
+  read(held);
+}
+
 void Clients::end_with(Connection& connection, std::string_view code, std::string_view text) {
-  write(connection, pgwire::error(pgwire::Severity::fatal, code, text));
-  leave(connection);
+  connection.owed.add_complete(pgwire::error(pgwire::Severity::fatal, code, text));
+  close_after_replies(connection);
+}
+
+// Takes no more commands; the connection is ended once all that is owed on it is written.
+void Clients::close_after_replies(Connection& connection) {
+  const Connected held = *connection.place;
+  connection.state = Connection::State::closing;
+  connection.buffer.consume(connection.buffer.held().size());
+  timers_.drop(connection.limit);
+  flush(connection);
+  if (connection.owed.empty() && !connection.writing) return leave(connection);
+  judge(connection);
+  read(held);
 }
 
 // Ends a connection in good order: what is written goes out, then the sending side is ended, and what the
@@ -353,15 +447,15 @@
 
 // The client does not take what is written to it, or makes the front hold too much.
 void Clients::cut_off(Connection& connection) {
-  if (connection.state == Connection::State::asking) return;  // its op is answered first
-  give_back(connection);
+  if (connection.owed.open_requests().empty()) return give_back(connection);
+  judge(connection);  // its requests are answered first
 }
 
 // The client has ended the connection.
 void Clients::left(Connection& connection) {
-  if (connection.state == Connection::State::asking) {
-    asking_.erase(connection.op);
-    ops_.op_gone(connection.op);
+  for (const OpId request : connection.owed.open_requests()) {
+    asking_.erase(request);
+    owner_.request_abandoned(request);
   }
   give_back(connection);
 }
@@ -381,26 +475,33 @@
 void Clients::drain() {
   if (std::exchange(draining_, true)) return;
   // Between the two figures, so that what comes last is both taken and spared.
-  drain_ = timers_.set(clock_.now() + (kStillComing + kSpared) / 2, [this] {
-    drain_.reset();
-    drained_ = true;
-    asio::error_code fault;
-    while (acceptor_.is_open() && !fault) {
-      Tcp::socket socket(io_);
-      acceptor_.accept(socket, fault);
-      if (!fault) taken(std::move(socket));
-    }
-    acceptor_.close(fault);
-    for (const Connected& connection : std::list(connections_)) go_on(*connection);
-    // What has just come up may have a question on its way; what says nothing by now has none.
-    drain_ = timers_.set(clock_.now() + (kSpared - kStillComing) / 2, [this] {
-      drain_.reset();
-      using State = Connection::State;
-      for (const Connected& connection : std::list(connections_))
-        if (connection->state == State::starting || connection->state == State::waiting_for_ready)
-          leave(*connection);
-    });
-  });
+  drain_ = timers_.set(clock_.now() + (kStillComing + kSpared) / 2, [this] { stop_listening(); });
+}
+
+void Clients::stop_listening() {
+  drained_ = true;
+  asio::error_code fault;
+  while (acceptor_.is_open() && !fault) {
+    Tcp::socket socket(io_);
+    acceptor_.accept(socket, fault);
+    if (!fault) accepted(std::move(socket));
+  }
+  acceptor_.close(fault);
+  for (const Connected& connection : std::list(connections_)) take_commands(*connection);
+  drain_ = timers_.set(clock_.now() + (kSpared - kStillComing) / 2, [this] { refuse_requests(); });
+}
+
+// What has just come up may have had a question on its way; what says nothing by now has none. Guards against
+// clients that send one command behind the other: their connections would never be at rest.
+void Clients::refuse_requests() {
+  drain_.reset();
+  refusing_ = true;
+  for (const Connected& connection : std::list(connections_)) {
+    if (connection->state == Connection::State::starting || !ready_)
+      leave(*connection);
+    else
+      take_commands(*connection);
+  }
 }
 
 void Clients::stop() {
--- a/src/front/clients.hpp
+++ b/src/front/clients.hpp
@@ -1,4 +1,4 @@
-// The clients: their connections, what they ask on them, and the answers in the order of the questions.
+// The clients: their connections, the commands that come on them, and the replies in the commands' order.
 #pragma once
 
 #include <asio.hpp>
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "front/pending_replies.hpp"
 #include "links/buffer.hpp"
 #include "links/clock.hpp"
 #include "links/log.hpp"
@@ -20,24 +21,26 @@
 
 class Clients {
  public:
-  // Who owns the ops. An op that can't be taken is answered at once, which a fault says.
-  struct Ops {
-    virtual ~Ops() = default;
-    virtual std::optional<pgwire::Fault> op_arrived(OpId op, std::string_view text,
-                                                    const pgwire::Statement& statement) = 0;
-    virtual void op_gone(OpId op) = 0;
+  // Who owns the requests. One that can't be taken is answered at once, which a fault says.
+  struct RequestOwner {
+    virtual ~RequestOwner() = default;
+    virtual std::optional<pgwire::Fault> request_arrived(OpId request, std::string_view text,
+                                                         const pgwire::Statement& statement) = 0;
+    // Its client has gone: nobody waits for the answer.
+    virtual void request_abandoned(OpId request) = 0;
   };
 
   Clients(asio::io_context& io, Timers& timers, const Clock& clock, Log& log, const Placement& placement,
-          Ops& ops);
+          RequestOwner& owner);
 
   // From now on connections are taken.
   void listen();
   // From now on empty queries are answered, by which clients are sent here.
   void be_ready();
-  void answer(OpId op, std::string bytes);
+  // The final answer of a request, without ReadyForQuery.
+  void answer(OpId request, std::string bytes);
   // The front is to stop: connections go on being taken for as long as they still come, then each is ended
-  // between ops.
+  // between requests.
   void drain();
 
   bool finished() const { return drained_ && connections_.empty(); }
@@ -46,22 +49,34 @@
  private:
   struct Connection;
   using Connected = std::shared_ptr<Connection>;
+  enum class Taken { request, answered };  // what became of a command
 
   void accept();
-  void taken(asio::ip::tcp::socket socket);
+  void accepted(asio::ip::tcp::socket socket);
+  void stop_listening();
+  void refuse_requests();
   void look_round();
   void end_leaving();
   std::size_t staying() const { return connections_.size() - leaving_; }
+  static bool listens(const Connection& connection);
   static bool gives_way(Connection& connection);
+  static bool hung_up(Connection& connection);
   bool make_room();
   void judge(Connection& connection);
+  void limit_passed(Connection& connection);
   void cut_off(Connection& connection);
   void read(const Connected& connection);
-  void go_on(Connection& connection);
-  void take(Connection& connection, const pgwire::Message& message);
-  void asked(Connection& connection, std::string_view text);
-  void write(Connection& connection, std::string bytes);
+  void read_now(const Connected& connection);
+  void take_commands(Connection& connection);
+  Taken take(Connection& connection, const pgwire::Message& message);
+  Taken take_startup(Connection& connection, const pgwire::Message& message);
+  Taken take_query(Connection& connection, std::string_view text);
+  Taken take_statement(Connection& connection, std::string_view text);
+  Taken reply(Connection& connection, std::string bytes);
+  void flush(Connection& connection);
+  void written(Connection& connection);
   void end_with(Connection& connection, std::string_view code, std::string_view text);
+  void close_after_replies(Connection& connection);
   void leave(Connection& connection);
   void left(Connection& connection);
   void give_back(Connection& connection);
@@ -71,14 +86,18 @@
   const Clock& clock_;
   Log& log_;
   const Placement& placement_;
-  Ops& ops_;
+  RequestOwner& owner_;
   asio::ip::tcp::acceptor acceptor_;
   Allowance allowance_;               // what is held of what clients send
+  Allowance reply_allowance_;         // of replies that wait behind others
   std::list<Connected> connections_;  // the one owner of each
   std::map<OpId, Connection*> asking_;
   std::size_t leaving_ = 0;  // of these, how many are being ended
-  std::uint64_t last_op_ = 0;
-  bool ready_ = false, draining_ = false, drained_ = false;
+  std::uint64_t last_request_ = 0;
+  bool ready_ = false;
+  bool draining_ = false;  // told to stop
+  bool drained_ = false;   // no connection is taken any more
+  bool refusing_ = false;  // nor a request
   std::optional<Timers::Handle> pause_, drain_, look_;
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -86,8 +86,8 @@
     std::visit([this](const auto& taken) { carry_out(taken); }, decision);
 }
 
-std::optional<pgwire::Fault> Front::op_arrived(OpId id, std::string_view text,
-                                               const pgwire::Statement& statement) {
+std::optional<pgwire::Fault> Front::request_arrived(OpId id, std::string_view text,
+                                                    const pgwire::Statement& statement) {
   const auto type = placement_.catalogue.op_types.find(statement.op_type);
   if (type == placement_.catalogue.op_types.end())
     return pgwire::Fault{"22023", "c names no op type: " + std::string(statement.op_type)};
@@ -113,7 +113,7 @@
   return std::nullopt;
 }
 
-void Front::op_gone(OpId id) {
+void Front::request_abandoned(OpId id) {
   noted_.push_back({OpGone{id}});
   end_op(id, "");
 }
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -26,7 +26,7 @@
 
 using namespace links;
 
-class Front : private Clients::Ops {
+class Front : private Clients::RequestOwner {
  public:
   // Throws Malformed where the placement is faulty.
   explicit Front(Environment environment, const Orders& orders = {});
@@ -47,9 +47,9 @@
     Millis arrived = 0, position = 0;
   };
 
-  std::optional<pgwire::Fault> op_arrived(OpId op, std::string_view text,
-                                          const pgwire::Statement& statement) override;
-  void op_gone(OpId op) override;
+  std::optional<pgwire::Fault> request_arrived(OpId op, std::string_view text,
+                                               const pgwire::Statement& statement) override;
+  void request_abandoned(OpId op) override;
   void list_read(StoreList list);
   void send_ended(SendEnded ended, std::string row);
   void settle();
--- /dev/null
+++ b/src/front/pending_replies.cpp
@@ -0,0 +1,62 @@
+#include "front/pending_replies.hpp"
+
+#include <utility>
+
+namespace reedspindle::front {
+
+PendingReplies::~PendingReplies() {
+  for (const Reply& reply : replies_) allowance_.give(reply.charged);
+}
+
+void PendingReplies::add_complete(std::string bytes) {
+  replies_.push_back({.complete = true, .bytes = std::move(bytes)});
+}
+
+void PendingReplies::add_request(OpId request) { replies_.push_back({.request = request}); }
+
+void PendingReplies::add_readiness() { replies_.push_back({}); }
+
+void PendingReplies::complete(OpId request, std::string bytes, const std::string& substitute) {
+  for (Reply& reply : replies_) {
+    if (reply.request != request) continue;
+    reply.request.reset();
+    reply.complete = true;
+    reply.bytes = std::move(bytes);
+    if (&reply != &replies_.front()) charge(reply, substitute);
+    return;
+  }
+}
+
+void PendingReplies::complete_readiness(const std::string& bytes) {
+  for (Reply& reply : replies_) {
+    if (reply.complete || reply.request) continue;
+    reply.complete = true;
+    reply.bytes = bytes;
+  }
+}
+
+void PendingReplies::charge(Reply& reply, const std::string& substitute) {
+  if (allowance_.take(reply.bytes.size()))
+    reply.charged = reply.bytes.size();
+  else
+    reply.bytes = substitute;
+}
+
+std::string PendingReplies::take_complete() {
+  std::string bytes;
+  while (!replies_.empty() && replies_.front().complete) {
+    bytes += replies_.front().bytes;
+    allowance_.give(replies_.front().charged);
+    replies_.pop_front();
+  }
+  return bytes;
+}
+
+std::vector<OpId> PendingReplies::open_requests() const {
+  std::vector<OpId> open;
+  for (const Reply& reply : replies_)
+    if (reply.request) open.push_back(*reply.request);
+  return open;
+}
+
+}  // namespace reedspindle::front
--- /dev/null
+++ b/src/front/pending_replies.hpp
@@ -0,0 +1,56 @@
+// The replies that one client connection is owed, in the order of its commands (pipelining). Free of I/O.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "links/buffer.hpp"
+#include "logic.hpp"
+
+namespace reedspindle::front {
+
+// Commands are handled side by side; their replies leave in order. Bytes of replies that wait behind others
+// are charged to an allowance shared by all connections, so that clients can't make the front hold too much.
+class PendingReplies {
+ public:
+  explicit PendingReplies(links::Allowance& allowance) : allowance_(allowance) {}
+  ~PendingReplies();
+  PendingReplies(const PendingReplies&) = delete;
+  PendingReplies& operator=(const PendingReplies&) = delete;
+
+  // A command that was answered on the spot.
+  void add_complete(std::string bytes);
+  // A command whose reply comes later: that of a request, or that the front is ready.
+  void add_request(OpId request);
+  void add_readiness();
+
+  // The reply of a command that was added before. If it has to wait behind others and the allowance is used
+  // up, the substitute is kept in its place.
+  void complete(OpId request, std::string bytes, const std::string& substitute);
+  void complete_readiness(const std::string& bytes);
+
+  // Removes all replies from the front of the queue that are complete; empty: the next one is not.
+  std::string take_complete();
+
+  std::vector<OpId> open_requests() const;
+  std::size_t size() const { return replies_.size(); }
+  bool empty() const { return replies_.empty(); }
+
+ private:
+  struct Reply {
+    std::optional<OpId> request = std::nullopt;  // none: of readiness, or answered on the spot
+    bool complete = false;
+    std::string bytes = {};
+    std::size_t charged = 0;  // bytes taken from the allowance
+  };
+
+  void charge(Reply& reply, const std::string& substitute);
+
+  links::Allowance& allowance_;
+  std::deque<Reply> replies_;
+};
+
+}  // namespace reedspindle::front
