A client can cancel its request; a signal during the start is neither deadly nor lost

The front handed out a key of zeros and read cancel requests without acting on them; now each connection has a key, and a cancel request answers the oldest request of its connection with 57014 and lets nothing more of it be sent (the protocol's own message, no new one).

A SIGHUP between the start of the process and the signal set would have ended it. Signals are held back from the first line of main until the front hears them.

--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace reedspindle::front {
@@ -47,6 +48,7 @@
   bool writing = false, reading = false, skipping = false, ended = false;
   bool commanded = false;  // a whole command has come
   int faults = 0;          // in a row
+  std::optional<pgwire::CancelKey> key;
   std::size_t read_out = 0;
   Millis since = 0;                     // when it came, was last heard or last answered
   std::optional<Timers::Handle> limit;  // of what the client owes, or of reading it out
@@ -309,8 +311,11 @@
       return reply(connection, "N");
     case pgwire::Startup::session:
       connection.state = Connection::State::open;
-      return reply(connection, pgwire::welcome());
+      connection.key = pgwire::CancelKey{++last_connection_, std::random_device()()};
+      keys_[*connection.key] = &connection;
+      return reply(connection, pgwire::welcome(*connection.key));
     case pgwire::Startup::cancel:
+      if (const auto key = pgwire::cancel_key(message)) cancel(*key);
       close_after_replies(connection);
       break;
     case pgwire::Startup::unknown:
@@ -369,6 +374,17 @@
   flush(connection);
 }
 
+// The oldest request of that connection, whose client has given up on it: nothing more is sent of it.
+// Answered at once, as the protocol has it; a key that is nobody's does nothing.
+void Clients::cancel(const pgwire::CancelKey& key) {
+  const auto found = keys_.find(key);
+  if (found == keys_.end()) return;
+  const std::vector<OpId> open = found->second->owed.open_requests();
+  if (open.empty()) return;
+  owner_.request_abandoned(open.front());
+  answer(open.front(), pgwire::error(pgwire::Severity::error, "57014", "canceled on user request"));
+}
+
 Clients::Taken Clients::reply(Connection& connection, std::string bytes) {
   connection.owed.add_complete(std::move(bytes));
   flush(connection);
@@ -465,6 +481,7 @@
   if (connection.state == Connection::State::given_back) return;
   if (connection.state == Connection::State::leaving) --leaving_;
   connection.state = Connection::State::given_back;
+  if (connection.key) keys_.erase(*connection.key);
   timers_.drop(connection.limit);
   asio::error_code ignored;
   connection.socket.close(ignored);
--- a/src/front/clients.hpp
+++ b/src/front/clients.hpp
@@ -75,6 +75,7 @@
   Taken reply(Connection& connection, std::string bytes);
   void flush(Connection& connection);
   void written(Connection& connection);
+  void cancel(const pgwire::CancelKey& key);
   void end_with(Connection& connection, std::string_view code, std::string_view text);
   void close_after_replies(Connection& connection);
   void leave(Connection& connection);
@@ -93,7 +94,9 @@
   std::list<Connected> connections_;  // the one owner of each
   std::map<OpId, Connection*> asking_;
   std::size_t leaving_ = 0;  // of these, how many are being ended
+  std::map<pgwire::CancelKey, Connection*> keys_;
   std::uint64_t last_request_ = 0;
+  std::uint32_t last_connection_ = 0;
   bool ready_ = false;
   bool draining_ = false;  // told to stop
   bool drained_ = false;   // no connection is taken any more
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <utility>
 
+#include "front/held_signals.hpp"
+
 namespace reedspindle::front {
 namespace {
 // Callbacks that one turn of the loop takes at most before the module is asked: what comes at full speed may
@@ -45,6 +47,7 @@
 void Front::run() {
   clients_.listen();
   hear_signals();
+  release_signals();
   if (!placement_.known.is_null()) {
     try {
       StoreList known = read_list(placement_.known, placement_.catalogue);
--- a/src/front/main.cpp
+++ b/src/front/main.cpp
@@ -6,12 +6,14 @@
 #include <iostream>
 
 #include "front/front.hpp"
+#include "front/held_signals.hpp"
 #include "operators/command.hpp"
 #include "values.hpp"
 
 int main(int count, char** words) {
   using namespace reedspindle;
   std::signal(SIGPIPE, SIG_IGN);
+  front::hold_signals();
   const auto run = [](const front::Orders& orders) {
     front::Front([](const char* name) { return std::getenv(name); }, orders).run();
   };
--- a/src/links/pgwire.cpp
+++ b/src/links/pgwire.cpp
@@ -129,6 +129,12 @@
   return code >> 16 == kVersion3 >> 16 ? Startup::session : Startup::unknown;
 }
 
+std::optional<CancelKey> cancel_key(const Message& message) {
+  constexpr std::size_t kSize = 12;  // the code of the message, then both numbers
+  if (message.body.size() != kSize || startup_kind(message) != Startup::cancel) return std::nullopt;
+  return CancelKey{number_at(message.body, 4, 4), number_at(message.body, 8, 4)};
+}
+
 std::string first_word(std::string_view text) {
   std::string word;
   for (const char letter : text) {
@@ -255,13 +261,16 @@
 
 std::string query(std::string_view text) { return message('Q', std::string(text) + '\0'); }
 
-std::string welcome() {
+std::string welcome(const CancelKey& key) {
   using namespace std::string_literals;
   std::string out = message('R', "\0\0\0\0"s);
   for (const std::string& parameter : {"server_version\0"s + "15.0\0"s, "server_encoding\0UTF8\0"s,
                                        "client_encoding\0UTF8\0"s, "standard_conforming_strings\0on\0"s})
     out += message('S', parameter);
-  return out + message('K', "\0\0\0\0\0\0\0\0"s) + ready();
+  std::string numbers;
+  put(numbers, key.process, 4);
+  put(numbers, key.secret, 4);
+  return out + message('K', numbers) + ready();
 }
 
 std::string ready() { return message('Z', "I"); }
--- a/src/links/pgwire.hpp
+++ b/src/links/pgwire.hpp
@@ -2,6 +2,8 @@
 // send. Pure: no sockets, no clock, no state.
 #pragma once
 
+#include <compare>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,6 +36,14 @@
 enum class Startup { session, encryption, cancel, unknown };
 Startup startup_kind(const Message& message);
 
+// What a client needs to cancel a request from another connection (BackendKeyData).
+struct CancelKey {
+  std::uint32_t process = 0, secret = 0;
+  auto operator<=>(const CancelKey&) const = default;
+};
+// Of a startup message of the kind cancel; none: it does not read.
+std::optional<CancelKey> cancel_key(const Message& message);
+
 // Of "name=value"; without the sign all of it is the name.
 std::pair<std::string_view, std::string_view> name_and_value(std::string_view item);
 
@@ -75,7 +85,7 @@
 // Messages to send.
 std::string startup(std::string_view user, std::string_view database);
 std::string query(std::string_view text);
-std::string welcome();  // AuthenticationOk up to ReadyForQuery
+std::string welcome(const CancelKey& key = {});  // AuthenticationOk up to ReadyForQuery
 std::string ready();
 std::string empty_answer();
 std::string completed(std::string_view tag);
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -49,7 +49,8 @@
   int fd = -1;
   std::string held;  // read and not yet taken
   bool started = false, ended = false, greeted = false;
-  std::string asked;  // by the front, not yet answered
+  std::string asked;     // by the front, not yet answered
+  std::string key = {};  // by which a request of a client is cancelled
   bool dropped = false;
 };
 
@@ -180,6 +181,9 @@
       placement_["known"] = Json::parse(list_of(41, true));
     } else if (who == "start") {
       start();
+    } else if (who == "start-signalled") {  // with a SIGHUP that comes before anything of it runs
+      signalled_ = SIGHUP;
+      start();
     } else if (who == "fails") {
       start_child();
       wait_exit();
@@ -274,6 +278,13 @@
       setenv("ROUTER_CONFIG", path_.c_str(), 1);
       if (placement_.contains("discovery"))  // as old as the process
         setenv("ROUTER_DISCOVERY", placement_["discovery"].get<std::string>().c_str(), 1);
+      if (signalled_) {  // pending, and kept over the start of the program
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, signalled_);
+        sigprocmask(SIG_BLOCK, &signals, nullptr);
+        raise(signalled_);
+      }
       execl(program_.c_str(), program_.c_str(), nullptr);
       _exit(127);
     }
@@ -401,6 +412,11 @@
       return;
     }
     if (what == "hears") return hears(clients_.at(name));
+    if (what == "cancels") {  // what client NAME has asked, on a connection of its own
+      const int fd = connect_to(listen_);
+      put(fd, std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8) + clients_.at(rest).key);
+      return void(close(fd));
+    }
     if (what == "finds") {  // "finds nobody": the front listens no more
       wait_for("the front to listen no more", [this] {
         const int fd = connect_to(listen_);
@@ -455,6 +471,7 @@
       });
       const auto* got = std::get_if<pgwire::Message>(&read);
       if (!got) return void(std::cout << "  end\n");
+      if (got->type == 'K') link.key = got->body;
       whole = got->type == 'Z' && link.greeted;
       if (got->type == 'Z') link.greeted = true;
       if (got->type == 'I') std::cout << "  empty\n";
@@ -642,6 +659,7 @@
   std::string behind_list_;
   int discovery_listening_ = -1, errors_ = -1, peer_ = -1, file_ = -1;
   pid_t child_ = 0;
+  int signalled_ = 0;
   std::vector<int> floods_;
   const std::string kFlood = pgwire::query("SET a") + pgwire::query("nonsense");
   Link discovery_, moved_;
