--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -377,7 +377,8 @@
       const std::string text(got->body.substr(0, got->body.find('\0')));
       const std::size_t size = got->bytes.size();
       if (!std::exchange(link.started, true)) {
-        if (store.manner == "welcomes") put(link.fd, pgwire::welcome());
+        link.greeted = store.manner == "welcomes";
+        if (link.greeted) put(link.fd, pgwire::welcome());
         if (store.manner == "full")
           put(link.fd, pgwire::error(pgwire::Severity::fatal, "53300", "too many connections"));
       } else if (text.empty()) {
@@ -495,6 +496,10 @@
       std::cout << "  " << checked(store.gets.front()) << '\n';
       return store.gets.pop_front();
     }
+    if (what == "got-nothing") {  // of which all that it could have been sent has come
+      std::cout << (store.gets.empty() ? "  true\n" : "  but " + store.gets.front() + "\n");
+      return;
+    }
     if (what == "gets-many") {  // "gets-many 64": so many sends have come
       std::size_t count = 0;
       line >> count;
@@ -503,9 +508,11 @@
       return;
     }
     if (what == "adds") return void(store.behind_empty = unescaped(remainder(line)));
-    if (what == "greets") {  // those that it let hang
+    if (what == "dialed" || what == "greets") {  // those that it let hang, one at least
+      const auto hangs = [](const Link& at) { return at.started && !at.ended && !at.greeted; };
+      wait_for("a connection that hangs", [&] { return std::ranges::any_of(store.links, hangs); });
       for (Link& at : store.links)
-        if (at.started && !at.ended) put(at.fd, pgwire::welcome());
+        if (what == "greets" && hangs(at)) put(at.fd, pgwire::welcome()), at.greeted = true;
       return;
     }
     if (what == "tells") return void(store.vitals = remainder(line));
