--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -43,7 +43,9 @@
 
 struct Printer {
   void operator()(const Send& d) const {
-    std::cout << "  send " << d.op.number << " to " << d.member.address << '\n';
+    std::cout << "  send " << d.op.number << " to " << d.member.address;
+    if (d.start_within) std::cout << ", begun within " << *d.start_within;
+    std::cout << '\n';
   }
   void operator()(const CallOff& d) const {
     std::cout << "  call off " << d.op.number << '/' << d.send.number << '\n';
