--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -551,11 +551,16 @@
       give_up("no such store line");
     }
   }
-  // The patience passed on varies by what has gone by: it may only be shorter than the client's.
+  // The patience passed on varies by what has gone by: it may only be shorter than the client's. A position
+  // is a time.
   static std::string checked(std::string text) {
     const std::size_t at = text.find(",d=") + 3, end = text.find_first_not_of("0123456789", at);
     const long patience = std::stol(text.substr(at, end - at));
-    return text.replace(at, end - at, patience > 0 && patience <= 9000 ? "(left)" : "(too long)");
+    text.replace(at, end - at, patience > 0 && patience <= 9000 ? "(left)" : "(too long)");
+    const std::size_t after = text.find(",after=");
+    if (after == std::string::npos) return text;
+    const std::size_t digits = after + 7, behind = text.find_first_not_of("0123456789", digits);
+    return text.replace(digits, behind - digits, "(position)");
   }
 
   // So many clients at once, who say nothing more, or each ask and stay: how many hear that there are too
