Replies taken for writing stay bounded; idle connections are asked of the kernel only when crowded

PendingReplies::take_complete handed out all that was complete, up to 64 values, and charged them no more while a client that does not read held them in 'out': it stops at one of the longest now. look_round asked the kernel for the bytes of every idle connection 20 times a second; it asks only where one has to give way.

--- a/src/front/clients.cpp
+++ b/src/front/clients.cpp
@@ -89,8 +89,8 @@
   std::vector<Connected> gone;
   const Millis long_ago = clock_.now() - (staying() > placement_.sockets / 4 ? kKeptWhenCrowded : kKept);
   for (const Connected& connection : connections_) {
-    if (connection->commanded && gives_way(*connection) && connection->since < long_ago)
-      idle.push_back(connection);
+    const bool rested = connection->commanded && connection->since < long_ago;
+    if (staying() > kept && rested && gives_way(*connection)) idle.push_back(connection);
     const bool unread = !connection->reading && connection->state != Connection::State::leaving;
     if (unread && hung_up(*connection)) gone.push_back(connection);
   }
@@ -292,7 +292,7 @@
     connection.skipping = false;
     return reply(connection, pgwire::ready());
   }
-  if (connection.skipping) return Taken::request;
+  if (connection.skipping) return Taken::pending;
   if (message.type == 'Q') {
     const std::size_t end = message.body.find('\0');
     if (end + 1 == message.body.size()) return take_query(connection, message.body.substr(0, end));
@@ -350,7 +350,7 @@
     connection.faults = 0;
     connection.owed.add_request(request);
     asking_[request] = &connection;
-    return Taken::request;
+    return Taken::pending;
   }
   log_.warn("clients", "statement turned away", {{"why", fault->text}});
   if (++connection.faults >= kFaultsInARow && !refusing_) {
--- a/src/front/clients.hpp
+++ b/src/front/clients.hpp
@@ -49,7 +49,7 @@
  private:
   struct Connection;
   using Connected = std::shared_ptr<Connection>;
-  enum class Taken { request, answered };  // what became of a command
+  enum class Taken { pending, answered };  // a command whose reply comes later or never, or is there
 
   void accept();
   void accepted(asio::ip::tcp::socket socket);
--- a/src/front/pending_replies.cpp
+++ b/src/front/pending_replies.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "links/pgwire.hpp"
+
 namespace reedspindle::front {
 
 PendingReplies::~PendingReplies() {
@@ -44,7 +46,8 @@
 
 std::string PendingReplies::take_complete() {
   std::string bytes;
-  while (!replies_.empty() && replies_.front().complete) {
+  // What is taken is charged no more. Guards against holding many replies for a client that does not read.
+  while (!replies_.empty() && replies_.front().complete && bytes.size() < links::pgwire::kLongestValue) {
     bytes += replies_.front().bytes;
     allowance_.give(replies_.front().charged);
     replies_.pop_front();
--- a/src/front/pending_replies.hpp
+++ b/src/front/pending_replies.hpp
@@ -32,7 +32,8 @@
   void complete(OpId request, std::string bytes, const std::string& substitute);
   void complete_readiness(const std::string& bytes);
 
-  // Removes all replies from the front of the queue that are complete; empty: the next one is not.
+  // Removes replies from the front of the queue for as long as they are complete and make up less than one of
+  // the longest; empty: the next one is not complete.
   std::string take_complete();
 
   std::vector<OpId> open_requests() const;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -414,9 +414,14 @@
     }
     if (what == "hears") return hears(clients_.at(name));
     if (what == "cancels") {  // what client NAME has asked, on a connection of its own
-      const int fd = connect_to(listen_);
-      put(fd, std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8) + clients_.at(rest).key);
-      return void(close(fd));
+      Link link;
+      link.fd = connect_to(listen_);
+      put(link.fd, std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8) + clients_.at(rest).key);
+      wait_for("the cancelling to be done", [&] {
+        pollfd at{link.fd, POLLIN, 0};
+        return poll(&at, 1, 0) == 1 && !fill(link);
+      });
+      return void(close(link.fd));
     }
     if (what == "finds") {  // "finds nobody": the front listens no more
       wait_for("the front to listen no more", [this] {
@@ -560,7 +565,8 @@
     const std::size_t after = text.find(",after=");
     if (after == std::string::npos) return text;
     const std::size_t digits = after + 7, behind = text.find_first_not_of("0123456789", digits);
-    return text.replace(digits, behind - digits, "(position)");
+    const long long age = now() - std::stoll(text.substr(digits, behind - digits));
+    return age >= 0 && age < 60000 ? text.replace(digits, behind - digits, "(now)") : text;
   }
 
   // So many clients at once, who say nothing more, or each ask and stay: how many hear that there are too
