--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -18,10 +18,6 @@
       placement_([&] {
         Placement placement = read_placement(environment_);
         placement.values.insert(orders.values.begin(), orders.values.end());
-        // Discovery's agent is on this machine and answers at no cost, also where the settings have lists
-        // asked for: the module's spread of calls, which spares one service for all, would only make what is
-        // told come late, the more so after a restart.
-        placement.list_is_asked = false;
         return placement;
       }()),
       clock_(orders.clock_offset),
@@ -61,7 +57,7 @@
       log_.warn("list", "saved list does not count", {{"why", fault.what()}});
     }
   }
-  list_.watch();
+  if (!placement_.list_is_asked) list_.watch();
   log_.info("front", "listens", {{"name", placement_.name}, {"at", text_of(placement_.listen)}});
   while (!clients_.finished()) {
     if (noted_.empty()) io_.run_one();
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -756,12 +756,13 @@
     group.touched = group.asked = false;
   }
 
-  // Calls are spread, for the list is one service for all: 25 ms apart, within what the rule allows.
+  // Calls are spread, for the list is one service for all: 25 ms apart, at most over a quarter of the time in
+  // which the rule wants one, so that a call that was lost, the wait and the next call fit into 6 s.
   void decide_list() {
     if (next_watch_ == kNever) next_watch_ = now_ + spread();
     want_watch_ = ask_ && now_ >= next_watch_;
   }
-  Millis spread() { return roll() * std::min(25 * (instances_ - 1), ask_within_ / 2); }
+  Millis spread() { return roll() * std::min(25 * (instances_ - 1), ask_within_ / 4); }
   const bool ask_ = catalog_.word("list", "push") == "ask";
   const Millis ask_within_ = catalog_.number("rule.ask_within", 10000);
 
