--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -61,9 +61,11 @@
   log_.info("front", "listens", {{"name", placement_.name}, {"at", text_of(placement_.listen)}});
   while (!clients_.finished()) {
     if (noted_.empty()) io_.run_one();
-    for (int taken = 0; taken < kOfOneTurn && io_.poll_one() > 0; ++taken) continue;
+    turns_.begin(clock_.now());
+    run_callbacks();
     if (!noted_.empty()) settle();
     log_.flush();
+    tell_turn();
   }
   log_.info("front", "stops, all it took is answered", {{"name", placement_.name}});
   clients_.stop();
@@ -73,7 +75,23 @@
   list_.stop();
 }
 
+void Front::run_callbacks() {
+  for (int taken = 0; taken < kOfOneTurn && io_.poll_one() > 0; ++taken) turns_.callback_ended(clock_.now());
+}
+
+void Front::tell_turn() {
+  const bool longest = turns_.end(clock_.now());
+  const TurnGauge::Turn& turn = turns_.turn();
+  if (turn.took >= TurnGauge::kHeldUp)
+    log_.warn("turns", "turn held up",
+              {{"ms", turn.took}, {"part", turn.part}, {"callback_ms", turn.longest_callback}});
+  if (longest)
+    log_.info("turns", "longest turn",
+              {{"ms", turn.took}, {"part", turn.part}, {"callback_ms", turn.longest_callback}});
+}
+
 void Front::settle() {
+  turns_.doing("tier");
   if (tier_) tier_->look();
   const Millis now = clock_.now();
   for (Noted& noted : std::exchange(noted_, {})) {
@@ -85,8 +103,13 @@
     }
     router_->note(noted.event);
   }
-  for (const Decision& decision : router_->settle(now))
+  turns_.doing("decisions");
+  const std::vector<Decision> decisions = router_->settle(now);
+  turns_.callback_ended(clock_.now());
+  turns_.doing("carrying out");
+  for (const Decision& decision : decisions)
     std::visit([this](const auto& taken) { carry_out(taken); }, decision);
+  turns_.callback_ended(clock_.now());
 }
 
 std::optional<pgwire::Fault> Front::request_arrived(OpId id, std::string_view text,
@@ -111,20 +134,27 @@
   arrived.patience = statement.patience;
   arrived.repeat = statement.repeat;
   noted_.push_back({std::move(arrived), clock_.now(), statement.position});
-  ops_[id] = {std::make_shared<const std::string>(text), std::string(statement.id), statement.patience_place};
+  ops_[id] = {std::make_shared<const std::string>(text), std::string(statement.id), statement.patience_place,
+              0, clock_.now()};
   ids_.emplace(statement.id);
   return std::nullopt;
 }
 
 void Front::request_abandoned(OpId id) {
   noted_.push_back({OpGone{id}});
-  end_op(id, "");
+  end_op(id, "", "its client left");
 }
 
 // Ops are given back here and nowhere else. What is not written of one yet never will be.
-void Front::end_op(OpId id, std::string answer) {
+void Front::end_op(OpId id, std::string answer, std::string_view why) {
   const auto found = ops_.find(id);
   if (found == ops_.end()) return;
+  if (log_.writes(LogLevel::debug))
+    log_.debug("request", "ended",
+               {{"id", found->second.id},
+                {"why", why},
+                {"attempts", found->second.sends},
+                {"ms", clock_.now() - found->second.arrived}});
   ids_.erase(found->second.id);
   texts_.give(found->second.text->size());
   ops_.erase(found);
@@ -133,6 +163,7 @@
 }
 
 void Front::list_read(StoreList list) {
+  turns_.doing("list");
   members_.learn(list);
   if (tier_) tier_->list_read(list);
   ListRead read{list.kind, {}};
@@ -146,7 +177,7 @@
 }
 
 void Front::send_ended(SendEnded ended, std::string row) {
-  if (ended.ending == Ending::acked) end_op(ended.op, std::move(row));
+  if (ended.ending == Ending::acked) end_op(ended.op, std::move(row), "served");
   ended.op_ended = !ops_.contains(ended.op);
   noted_.push_back({std::move(ended)});
 }
@@ -187,15 +218,23 @@
   const auto found = ops_.find(decision.op);
   if (found == ops_.end()) return;  // noted as gone
   Op& op = found->second;
+  if (log_.writes(LogLevel::debug))
+    log_.debug("request", "attempt",
+               {{"id", op.id},
+                {"attempt", op.sends},
+                {"member", decision.member.address},
+                {"ms", clock_.now() - op.arrived}});
   members_.send(decision.op, decision, {op.sends++}, op.text, op.patience);
 }
 void Front::carry_out(const CallOff& decision) { members_.call_off(decision.op, decision.send); }
 void Front::carry_out(const BusyReply& decision) {
   const std::string come_back = decision.come_back > 0 ? fmt::format("{:.0f}", decision.come_back) : "";
-  end_op(decision.op, pgwire::error(pgwire::Severity::error, "53300", "busy, try again", come_back));
+  end_op(decision.op, pgwire::error(pgwire::Severity::error, "53300", "busy, try again", come_back),
+         "refused");
 }
 void Front::carry_out(const ErrorReply& decision) {
-  end_op(decision.op, pgwire::error(pgwire::Severity::error, "58000", "no store has answered in time"));
+  end_op(decision.op, pgwire::error(pgwire::Severity::error, "58000", "no store has answered in time"),
+         "no answer in time");
 }
 void Front::carry_out(const Wake& decision) {
   timers_.set(decision.at, [this, timer = decision.timer] { noted_.push_back({TimerDue{timer}}); });
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -14,6 +14,7 @@
 #include "front/orders.hpp"
 #include "front/peers.hpp"
 #include "front/tier.hpp"
+#include "front/turn_gauge.hpp"
 #include "links/clock.hpp"
 #include "links/list.hpp"
 #include "links/log.hpp"
@@ -40,6 +41,7 @@
     std::string id;  // as the client names it
     pgwire::Place patience;
     int sends = 0;
+    Millis arrived = 0;
   };
   // What happened, in order. An op's times are counted back from the clock of the settle that tells of it.
   struct Noted {
@@ -52,8 +54,11 @@
   void request_abandoned(OpId op) override;
   void list_read(StoreList list);
   void send_ended(SendEnded ended, std::string row);
+  void run_callbacks();
+  void tell_turn();
   void settle();
-  void end_op(OpId op, std::string answer);
+  // Why: for the log. No answer: nobody waits for it.
+  void end_op(OpId op, std::string answer, std::string_view why);
   void hear_signals();
   void read_again();
 
@@ -71,6 +76,7 @@
   const Environment environment_;
   const Placement placement_;
   const Clock clock_;
+  TurnGauge turns_;
   Log log_;
   asio::io_context io_;
   Timers timers_;
--- a/src/links/log.hpp
+++ b/src/links/log.hpp
@@ -66,6 +66,9 @@
     line(LogLevel::error, kind, event, fields);
   }
 
+  // Whether lines of this level are written: for those whose fields cost something to make.
+  bool writes(LogLevel level) const { return level >= manner_.level; }
+
   // Writes what standard error takes now.
   void flush();
 
--- a/src/rig/discovery.cpp
+++ b/src/rig/discovery.cpp
@@ -64,7 +64,7 @@
   ++calls_;
   link->since = number("since=", -1);
   if (silent_) return;
-  const Now now = ask_();
+  const Now now = ask_(link->since);
   if (link->since < 0 || link->since < now.revision) return answer(link, now.list, now.revision);
   watching_.push_back(link);
   // A watch whose time is over hears that nothing has changed.
@@ -78,9 +78,12 @@
 void Discovery::changed() {
   std::erase_if(watching_, [](const auto& weak) { return weak.expired() || weak.lock()->since < 0; });
   if (silent_) return;
-  const Now now = ask_();
-  for (const auto& weak : std::exchange(watching_, {}))
-    if (const Linked link = weak.lock(); link && link->since >= 0) answer(link, now.list, now.revision);
+  for (const auto& weak : std::exchange(watching_, {})) {
+    const Linked link = weak.lock();
+    if (!link || link->since < 0) continue;
+    const Now now = ask_(link->since);
+    answer(link, now.list, now.revision);
+  }
 }
 
 void Discovery::answer(const Linked& link, const std::string& body, long long revision) {
--- a/src/rig/discovery.hpp
+++ b/src/rig/discovery.hpp
@@ -17,9 +17,10 @@
  public:
   struct Now {
     long long revision = 0;
-    std::string list;  // whole, as JSON
+    std::string list;  // whole or what has changed, as JSON
   };
-  using Ask = std::function<Now()>;
+  // Of a watch with the revision that it has; below 0: the whole list is asked for.
+  using Ask = std::function<Now(long long since)>;
   // How many bytes that connection has been sent, the answer included.
   using Written =
       std::function<void(const asio::ip::tcp::endpoint& to, std::size_t bytes, long long revision)>;
--- a/src/rig/stores.cpp
+++ b/src/rig/stores.cpp
@@ -142,6 +142,7 @@
 void Stores::accept(Place& place) {
   place.acceptor.async_accept([this, &place](const asio::error_code& fault, Tcp::socket socket) {
     if (fault || !place.state.up) return;
+    ++accepted_;
     asio::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     const auto connection = std::make_shared<Connection>(place, std::move(socket));
--- a/src/rig/stores.hpp
+++ b/src/rig/stores.hpp
@@ -77,6 +77,8 @@
   void fall(int store);
   void rise(int store);
   std::uint64_t probes() const { return probes_; }
+  // Connections that were taken, in all.
+  std::uint64_t accepted() const { return accepted_; }
 
  private:
   struct Place;
@@ -105,7 +107,7 @@
   std::map<int, int> http2_;
   Told told_;
   Came came_;
-  std::uint64_t probes_ = 0;
+  std::uint64_t probes_ = 0, accepted_ = 0;
 };
 
 }  // namespace reedspindle::rig
--- a/standins/world.cpp
+++ b/standins/world.cpp
@@ -25,7 +25,7 @@
     : timers_(io_, clock_),
       stores_(io_, timers_, clock_,
               std::vector<asio::ip::tcp::endpoint>(static_cast<std::size_t>(stores), kAnyPort), {}, 1),
-      discovery_(io_, timers_, clock_, kAnyPort, [this] { return list(); }) {
+      discovery_(io_, timers_, clock_, kAnyPort, [this](long long) { return list(); }) {
   thread_ = std::thread([this] {
     const auto work = asio::make_work_guard(io_);
     io_.run();
