Decision module: a request costs its group, a list what it changes, probes what is due

Those gone are forgotten from a queue, 64 at a time. A member that the list moves to another group moves with it.

What differs from the version as it ran: probes are asked for when they are due, not when another group's happen to be.

--- /dev/null
+++ b/bench/module.cpp
@@ -0,0 +1,100 @@
+// What the decision module alone takes for lists and requests among ever more servers; no I/O.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <variant>
+#include <vector>
+
+#include "logic.hpp"
+
+using namespace reedspindle;
+
+namespace {
+
+constexpr int kReplicas = 6;
+constexpr int kRequests = 1000;
+constexpr int kTurns = 5;  // the least of so many counts
+
+Values settings() {
+  return {{"instances", 300.0},
+          {"allow.peers", 1.0},
+          {"allow.probes", 1.0},
+          {"allow.sends_per_op", 6.0},
+          {"op_types", 1.0},
+          {"op_type.0.needs", std::string("any")},
+          {"op_type.0.effect", std::string("retryable")},
+          {"op_type.0.latency_target", 200.0},
+          {"op_type.0.op_timeout", 1000.0},
+          {"rule.cold_from", 0.2},
+          {"rule.warm_within", 10000.0},
+          {"rule.fall_multiple", 2.0}};
+}
+
+double milliseconds(const std::function<void()>& work) {
+  const auto began = std::chrono::steady_clock::now();
+  work();
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+}
+
+struct Cost {
+  double first_list = 1e9, requests = 1e9, change = 1e9;  // ms
+};
+
+// A whole list, two thirds of whose servers have just started; requests among them; a list of one change.
+Cost measure(int servers) {
+  Cost cost;
+  for (int turn = 0; turn < kTurns; ++turn) {
+    Millis now = 1767225600000;
+    ListRead list{ListKind::complete, {}};
+    for (int server = 0; server < servers; ++server) {
+      ListedMember entry;
+      entry.member = {fmt::format("s-{:08x}", server * 2654435761u)};
+      entry.group = {server / kReplicas};
+      entry.up_since = server % 3 == 0 ? 0 : now;
+      list.members.push_back(entry);
+    }
+    const auto router = make_router(settings(), 7);
+    cost.first_list = std::min(cost.first_list, milliseconds([&] {
+                                 router->note(list);
+                                 router->settle(now);
+                               }));
+    cost.requests = std::min(
+        cost.requests, milliseconds([&] {
+          for (std::uint64_t number = 1; number <= kRequests; ++number) {
+            OpArrived arrived;
+            arrived.op = {number};
+            arrived.group = {
+                static_cast<int>(number * 7919 % static_cast<unsigned>(std::max(1, servers / kReplicas)))};
+            arrived.patience = 1000;
+            router->note(arrived);
+            for (const Decision& decision : router->settle(now += 5))
+              if (const auto* send = std::get_if<Send>(&decision))
+                router->note(SendEnded{
+                    send->op, {0}, send->member, Ending::acked, 10, true, {Role::replica, now, 0.3}});
+          }
+        }));
+    list.kind = ListKind::changes;
+    list.members.resize(1);
+    list.members[0].state = MemberState::draining;
+    cost.change = std::min(cost.change, milliseconds([&] {
+                             router->note(list);
+                             router->settle(now += 5);
+                           }));
+  }
+  return cost;
+}
+
+}  // namespace
+
+int main() {
+  std::cout << fmt::format("{:>8} {:>14} {:>18} {:>14}\n", "servers", "first list ms", "1,000 requests ms",
+                           "one change ms");
+  for (const int servers : {100, 200, 400, 800, 1600, 3200}) {
+    const Cost cost = measure(servers);
+    std::cout << fmt::format("{:>8} {:>14.2f} {:>18.2f} {:>14.3f}\n", servers, cost.first_list, cost.requests,
+                             cost.change);
+  }
+}
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -9,9 +9,13 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "accord/keepers.hpp"
+#include "routing/due_times.hpp"
+#include "routing/mark_index.hpp"
+#include "routing/warm_capacity.hpp"
 #include "samples.hpp"
 
 namespace reedspindle {
@@ -78,8 +82,12 @@
   if (last.size() > most) last.pop_front();
 }
 
+struct Group;
+
 struct Member {
   ListedMember entry;
+  Group* group = nullptr;                         // that the list names it in
+  routing::WarmCapacity::Slot warm_slot;          // in the sum of the warm replicas' capacity
   bool drained = false;                           // stands until it is listed as ready again
   std::deque<std::pair<Millis, Millis>> samples;  // the last few: position and when seen
   std::deque<double> paces;  // latency over latency target of the last answers, since the limit last moved
@@ -93,11 +101,12 @@
   Millis oldest_out = kNever;  // sending time of the oldest short op that is out
   double limit = 0, credit = 0;
   double more = 1;  // how many times its cold credit it gets, for it shows processors free
-  Millis yielded = kNever, credit_at = kNever, rests_until = kNever, there = kNever, hurt = kNever,
+  Millis yielded = kNever, credit_at = kNever, rests_until = kNever, gone_since = kNever, hurt = kNever,
          busy_at = kNever;
   double busy = 0;          // share of its processors in use
   bool unanswered = false;  // the last word on it: a probe, of whomever, had no answer
   bool was_late = false;    // its last answer
+  bool was_gone = false;    // before the list that is being read
   int out = 0;
   long turn = 0, mark = 0;
 };
@@ -195,46 +204,104 @@
     if (!std::exchange(group.touched, true)) touched_.push_back(&group);
     return group;
   }
-  Group& touch(const Member& member) { return touch(member.entry.group); }
+  Group& touch(const Member& member) {
+    if (!std::exchange(member.group->touched, true)) touched_.push_back(member.group);
+    return *member.group;
+  }
 
   void learn(const ListRead& read) {
     if (read.kind == ListKind::failed) return void(next_watch_ = now_ + 200 + spread());
-    for (auto& [id, member] : members_) {
-      if (member.entry.state != MemberState::gone || member.out > 0) member.there = now_;
-      if (read.kind != ListKind::changes) member.entry.state = MemberState::gone;
+    const bool whole = read.kind != ListKind::changes;
+    if (whole)
+      for (auto& [id, member] : members_)
+        member.was_gone = std::exchange(member.entry.state, MemberState::gone) == MemberState::gone;
+    for (const ListedMember& entry : read.members) learn(entry, whole);
+    if (whole)
+      for (auto& [id, member] : members_) judge_listing(member);
+    forget_the_gone();
+  }
+
+  void learn(const ListedMember& entry, bool whole) {
+    const auto [at, is_new] = members_.try_emplace(entry.member);
+    Member& member = at->second;
+    if (!whole) member.was_gone = member.entry.state == MemberState::gone && !is_new;
+    member.entry = entry;
+    Group& group = touch(entry.group);
+    if (member.group != &group) {
+      if (member.group) std::erase(member.group->members, &member);
+      member.group = &group;
+      is_new ? add(member) : place_in_group(member);
     }
-    for (const ListedMember& entry : read.members) {
-      const auto [at, is_new] = members_.try_emplace(entry.member);
-      Member& member = at->second;
-      member.entry = entry;
-      if (is_new) {
-        member.since = now_, member.mark = mark_of(entry.member), std::erase(want_forgets_, entry.member);
-        marked_.emplace_back(member.mark, &member);
-        std::sort(marked_.begin(), marked_.end());
-        std::vector<Member*>& members = touch(member).members;
-        members.push_back(&member);
-        std::ranges::sort(members, {}, [](const Member* m) { return std::pair(m->mark, m->entry.member); });
-        member.limit = std::max(1.0, 8 / instances_);
-        // By chance, so that instances don't all begin with the same member, nor spend all credit at once.
-        member.credit = roll(), member.credit_at = now_;
-        member.turn = turn_ - static_cast<long>(100 * roll());
-      }
-      touch(member);
-      if (entry.state != MemberState::gone) member.drained = entry.state == MemberState::draining;
-      if (entry.up_since <= member.cold_since || entry.up_since <= 0) continue;
+    if (entry.state != MemberState::gone) member.drained = entry.state == MemberState::draining;
+    if (entry.up_since > member.cold_since && entry.up_since > 0)
       member.cold_since = entry.up_since, member.next_probe = now_;
-    }
-    // Guards against growing where stores are replaced all day. What has been gone for half a minute is
-    // forgotten: no late word of the list, no answer and no excuse for a former primary is due by then.
-    std::erase_if(members_, [this](const auto& item) {
-      Member& member = members_.at(item.first);
-      if (!bound_by_gone_ || member.probe_out != kNever || now_ - member.there < 30000) return false;
-      if (member.entry.state != MemberState::gone) return false;
-      std::erase(touch(member).members, &member), std::erase(marked_, std::pair(member.mark, &member));
+    if (!whole) judge_listing(member);
+  }
+
+  void add(Member& member) {
+    const MemberId& id = member.entry.member;
+    member.since = now_, member.mark = mark_of(id), std::erase(want_forgets_, id);
+    marks_.add(member.mark, member);
+    place_in_group(member);
+    member.limit = std::max(1.0, 8 / instances_);
+    // By chance, so that instances don't all begin with the same member, nor spend all credit at once.
+    member.credit = roll(), member.credit_at = now_;
+    member.turn = turn_ - static_cast<long>(100 * roll());
+  }
+
+  // In the order of the marks, which is the same at every instance.
+  void place_in_group(Member& member) {
+    const auto order = [](const Member* one, const Member* other) {
+      return std::tie(one->mark, one->entry.member) < std::tie(other->mark, other->entry.member);
+    };
+    std::vector<Member*>& members = member.group->members;
+    members.insert(std::ranges::upper_bound(members, &member, order), &member);
+  }
+
+  // The list has said something of it, or has it no more.
+  void judge_listing(Member& member) {
+    recount(member);
+    const bool gone = member.entry.state == MemberState::gone;
+    if (!gone || std::exchange(member.was_gone, true) || !bound_by_gone_) return;
+    // One that was never there is forgotten at once.
+    const bool was_there = member.since < now_ || member.out > 0;
+    member.gone_since = was_there ? now_ : now_ - kForgetAfter;
+    gone_.emplace(member.gone_since, member.entry.member);
+  }
+
+  // Guards against growing where stores are replaced all day. What has been gone for half a minute is
+  // forgotten: no late word of the list, no answer and no excuse for a former primary is due by then. A few
+  // at a time: where thousands go at once, the turn of the loop has to stay short.
+  void forget_the_gone() {
+    for (int forgotten = 0; forgotten < kForgottenAtOnce; ++forgotten) {
+      if (gone_.empty() || now_ - gone_.begin()->first < kForgetAfter) return;
+      const auto [since, id] = *gone_.begin();
+      gone_.erase(gone_.begin());
+      const auto found = members_.find(id);
+      if (found == members_.end()) continue;
+      Member& member = found->second;
+      if (member.entry.state != MemberState::gone || member.gone_since != since) continue;
+      if (member.out > 0 || member.probe_out != kNever) {
+        member.gone_since = now_;
+        gone_.emplace(now_, id);
+        continue;
+      }
+      std::erase(touch(member).members, &member), marks_.remove(member.mark, member);
       std::erase(want_tells_, &member);
-      want_forgets_.push_back(item.first);
-      return true;
-    });
+      warm_capacity_.remove(member.warm_slot);
+      want_forgets_.push_back(id);
+      members_.erase(found);
+    }
+  }
+  static constexpr Millis kForgetAfter = 30000;
+  static constexpr int kForgottenAtOnce = 64;
+
+  // Its part in the capacity of the warm replicas, after anything of it has changed that decides on that.
+  void recount(Member& member) {
+    warm_capacity_.update(member.warm_slot,
+                          {member.entry.size, member.cold_since, sendable(member),
+                           member.op_bad > member.last_good, member.probe_bad > member.last_good},
+                          now_);
   }
 
   void learn(const OpArrived& arrived) {
@@ -291,7 +358,7 @@
     }
     // Guards against taking a member for down by the end of one connection: twice with no answer between.
     if (is(Ending::reset, Ending::connect_failed) && std::exchange(member.hurt, now_) > member.last_good)
-      member.op_bad = now_;
+      member.op_bad = now_, recount(member);
     if (is(Ending::acked, Ending::timed_out)) pace(member, was.op.type, ended.took);
     if (is(Ending::turned_away_full)) {
       // Guards against a member that turns ops away faster than others work and so draws ever more of them.
@@ -324,6 +391,7 @@
     const double sharing = std::min(instances_, may_tell_ ? 64.0 : 16.0);
     if (!ended.answered) member.next_probe = now_ + kProbePeriod * sharing * (0.9 + 0.2 * roll());
     member.probe_bad = ended.answered ? kNever : now_;
+    recount(member);
     --probes_out_;
     // Probes that were sent for another reason than the pace tell the others nothing they need. A keeper's
     // own answers don't, either: others would take its silence for its death.
@@ -346,6 +414,7 @@
   void learn(const AmongPeers& among) {
     if (!among_ || !std::ranges::includes(among_->there, among.there)) grown_at_ = now_;
     for (auto& [id, group] : groups_) touch(id).turn = -1;
+    groups_kept_ = 0;
     among_ = among, instances_ = std::max(1.0, all_ * among.of_all);
   }
 
@@ -357,10 +426,9 @@
     if (!hears()) heard_again_ = now_;
     peer_heard_ = now_;
     for (const auto& [mark, seen] : told->samples) {
-      const auto found =
-          std::ranges::equal_range(marked_, mark, {}, [](const auto& item) { return item.first; });
-      if (found.size() != 1) continue;
-      Member& member = *found.front().second;
+      Member* const found = marks_.find(mark);
+      if (!found) continue;
+      Member& member = *found;
       Group& group = touch(member);
       const bool answered = seen.role != Role::unknown;
       // Of two that keep the pace one goes on.
@@ -368,7 +436,7 @@
       if (answered) member.told = std::max(member.told, told->then);
       if (told->then <= member.heard || (member.unanswered = !answered)) continue;
       // What another saw outweighs a failed probe of one's own, but not failed ops: those make it look again.
-      member.probe_bad = kNever;
+      member.probe_bad = kNever, recount(member);
       if (down(member))
         member.next_probe = std::max(now_, member.probed + kProbePeriod * std::min(5.0, instances_));
       group.wait = roll();
@@ -394,10 +462,10 @@
   // others of it. Not a word of any group for two paces and the way of a message: what goes on elsewhere is
   // not known here, nor whether anyone listens. One whose turn it is everywhere need not hear anybody.
   bool hears() const {
-    const auto mine = [](const auto& group) { return group.second.turn == 0; };
     return may_tell_ && (now_ - std::max(peer_heard_, born_) < 2 * kProbePeriod + 50 ||
-                         (among_ && !among_->there.empty() && std::ranges::all_of(groups_, mine)));
+                         (among_ && !among_->there.empty() && groups_kept_ == groups_.size()));
   }
+  std::size_t groups_kept_ = 0;  // those in which it is this instance's turn
 
   const bool may_probe_ = catalog_.number("allow.probes") > 0;
   const Millis probe_wait_ = catalog_.number("allow.connect_time_out", 250);  // a new connection included
@@ -431,6 +499,7 @@
     if (member.op_bad > member.last_good && now_ - std::max(member.last_good, member.heard) > 2000)
       member.cold_since = now_;
     member.last_good = now_;
+    recount(member);
   }
 
   // The limit on what is out at a member follows the latency of its own answers: over 0.35 of their latency
@@ -558,9 +627,7 @@
 
   double cold_rate(const Member& member) {
     while (!acked_.empty() && acked_.front() < now_ - kCarried) acked_.pop_front();
-    double warm = 0;
-    for (const auto& [id, other] : members_)
-      if (warmth(other) >= 1 && sendable(other) && !down(other)) warm += other.entry.size;
+    const double warm = warm_capacity_.sum(now_, probes_count());
     if (warm <= 0) return 0;
     return warmth(member) * fall_multiple_ * static_cast<double>(acked_.size()) / kCarried *
            member.entry.size / warm;
@@ -731,24 +798,39 @@
     return std::max(at, member.next_probe);
   }
 
+  // When a member that others tell of, and that failed here, is to be judged without them.
+  Millis others_silent_at(const Member& member) const {
+    const Millis at = member.told + 1.5 * kProbePeriod;
+    return member.hurt > std::max(member.last_good, member.probe_bad) && at > now_ ? at : kForever;
+  }
+
   void decide_probes() {
-    if (next_probe_ <= now_) {
-      next_probe_ = kForever;
+    // What holds for all groups alike, and decides on when their probes are due.
+    const std::pair common(hears(), probes_count());
+    if (std::exchange(judged_with_, common) != common)
       for (auto& [id, group] : groups_) touch(id);
-    }
+    for (const GroupId due : probes_due_.take_due(now_)) touch(due);
     for (Group* group : std::exchange(touched_, {})) judge_probes(*group);
   }
 
   void judge_probes(Group& group) {
     if (group.wait == 0) group.wait = roll();
-    if (among_ && group.turn < 0 && now_ - grown_at_ > kSampleAge)
+    if (among_ && group.turn < 0 && now_ - grown_at_ > kSampleAge) {
       group.turn = accord::turn_of(group.id, rank_, among_->there, kReady);
+      groups_kept_ += group.turn == 0;
+    }
     group.mine = group.mine && hears();
     bool due = false;
+    Millis next = kForever;
     for (Member* member : group.members) {
       const Millis at = probe_at(group, *member);
-      at <= now_ ? void(due = true) : void(next_probe_ = std::min(next_probe_, at));
+      if (at <= now_)
+        due = true;
+      else
+        next = std::min({next, at, others_silent_at(*member)});
     }
+    if (among_ && group.turn < 0) next = std::min(next, grown_at_ + kSampleAge + tick_);
+    probes_due_.set(group.id, next < kForever ? std::optional(next) : std::nullopt);
     // What this instance tells of a group goes into one message.
     for (Member* member : group.members)
       if (due && probe_at(group, *member) - (group.mine ? kProbePeriod / 2 : 0) <= now_)
@@ -780,6 +862,7 @@
       if (!flight.want_call_off || flight.called_off) continue;
       out.push_back(CallOff{key.first, key.second});
       flight.called_off = true, flight.member->op_bad = flight.member->hurt = now_;
+      recount(*flight.member);
     }
     for (auto& [id, op] : ops_) {
       if (op.want == Want::send) {
@@ -794,7 +877,8 @@
       if (op.want == Want::error_reply) out.push_back(ErrorReply{id});
     }
     std::erase_if(ops_, [](const auto& item) { return item.second.want > Want::send; });
-    Millis wake = ask_ ? std::min(next_probe_, next_watch_) : next_probe_;
+    const Millis next_probe = probes_due_.next().value_or(kForever);
+    Millis wake = ask_ ? std::min(next_probe, next_watch_) : next_probe;
     if (!ops_.empty()) wake = std::min(wake, now_ + 3 * tick_);
     if (!want_tells_.empty()) wake = std::min(wake, untold_since_ + kGather);
     wake = std::clamp(wake, now_ + tick_, now_ + 1000);
@@ -826,7 +910,7 @@
 
   double primary_density_ = 1e-9, long_part_ = 0;
   Millis now_ = 0, born_ = kNever, peer_heard_ = kNever, heard_again_ = kNever, grown_at_ = kNever,
-         armed_ = kNever, next_watch_ = kNever, next_probe_ = 0;
+         armed_ = kNever, next_watch_ = kNever;
   TimerId armed_as_;
   bool want_watch_ = false;
   long turn_ = 0;
@@ -838,7 +922,11 @@
   std::vector<Event> noted_;
   std::map<MemberId, Member> members_;
   std::map<GroupId, Group> groups_;
-  std::vector<std::pair<long, Member*>> marked_;  // by mark
+  routing::MarkIndex<Member> marks_;
+  std::multimap<Millis, MemberId> gone_;  // by when they went
+  routing::WarmCapacity warm_capacity_{warm_within_};
+  routing::DueTimes<GroupId> probes_due_;
+  std::optional<std::pair<bool, bool>> judged_with_;  // whether peers are heard, whether failed probes count
   std::map<OpId, Op> ops_;
   std::map<std::string, Millis> remembered_;
   Millis remembered_floor_ = kNever, doubted_ = kNever;  // doubted: when probes were last found wrong
--- a/src/samples.cpp
+++ b/src/samples.cpp
@@ -1,6 +1,7 @@
 #include "samples.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdint>
 
@@ -21,12 +22,21 @@
   return count == 0 ? "" : digits(number / 64, count - 1) + kDigits[static_cast<std::size_t>(number % 64)];
 }
 
+// What each character stands for; below 0: it is no digit.
+constexpr std::array<signed char, 256> kValues = [] {
+  std::array<signed char, 256> values{};
+  values.fill(-1);
+  for (std::size_t at = 0; at < kDigits.size(); ++at)
+    values[static_cast<unsigned char>(kDigits[at])] = static_cast<signed char>(at);
+  return values;
+}();
+
 long number_in(std::string_view text) {  // below 0: no number
   long number = 0;
   for (const char digit : text) {
-    const auto at = kDigits.find(digit);
-    if (at == std::string_view::npos) return -1;
-    number = number * 64 + static_cast<long>(at);
+    const long value = kValues[static_cast<unsigned char>(digit)];
+    if (value < 0) return -1;
+    number = number * 64 + value;
   }
   return number;
 }
