Discovery client rebuilt: lists read as they come, handed on in parts, calls decided in a core

Change: src/discovery. A spoilt list is taken back but for drains and removals. SIGHUP does not hold the saved list in memory. links/list is gone; the control service gets lists as they are read.

--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -15,9 +15,9 @@
 constexpr Millis kReport = 60000;         // between lines that tell how it goes
 constexpr std::size_t kShownOfNode = 64;  // of what a proxy calls itself
 
-RosterList roster_list(const links::StoreList& list) {
+RosterList roster_list(const links::ServerList& list) {
   RosterList told{list.kind, list.revision, {}};
-  for (const links::ListedStore& store : list.stores)
+  for (const links::ListedServer& store : list.servers)
     told.members.push_back({store.entry, links::text_of(store.endpoint), store.zone});
   return told;
 }
@@ -49,8 +49,8 @@
             router_->note(std::move(ended));
             due_ = noted_ = true;
           }),
-      list_(io_, timers_, clock_, log_, charge_.placement,
-            [this](links::StoreList list) { list_read(std::move(list)); }),
+      list_(io_, timers_, clock_, log_, charge_.placement, discovery::Client::Delivery::as_read,
+            [this](links::ServerList list) { list_read(std::move(list)); }),
       keeper_(store_, [this](std::string fault) { asio::post(io_, [this, fault] { kept(fault); }); }),
       server_(io_, charge_, epoch_, *this) {}
 
@@ -96,7 +96,7 @@
   members_.stop();
 }
 
-void Service::list_read(links::StoreList list) {
+void Service::list_read(links::ServerList list) {
   if (list.kind == ListKind::failed) {
     router_->note(ListRead{ListKind::failed, {}});
     due_ = noted_ = true;
@@ -111,7 +111,7 @@
       log_.warn("roster", "list in doubt, the roster is held",
                 {{"why", word_of(doubt)},
                  {"revision", list.revision},
-                 {"listed", list.stores.size()},
+                 {"listed", list.servers.size()},
                  {"held", roster_.members().size()}});
     else
       log_.info("roster", "list believed",
@@ -122,10 +122,10 @@
 
 // The module and the links to stores go by the roster, never by a list that is in doubt.
 void Service::tell_module() {
-  links::StoreList list{ListKind::complete, roster_.revision(), {}};
+  links::ServerList list{ListKind::complete, roster_.revision(), {}};
   for (const auto& [id, entry] : roster_.members())
     if (const auto endpoint = links::endpoint_in(entry.endpoint))
-      list.stores.push_back({entry.listed, entry.zone, *endpoint});
+      list.servers.push_back({entry.listed, entry.zone, *endpoint});
   members_.learn(list);
   router_->note(roster_.read());
   due_ = noted_ = listed_ = true;
--- a/src/control/service.hpp
+++ b/src/control/service.hpp
@@ -15,10 +15,10 @@
 #include "control/server.hpp"
 #include "control/streams.hpp"
 #include "control/xds.hpp"
+#include "discovery/client.hpp"
 #include "keep/keeper.hpp"
 #include "keep/store.hpp"
 #include "links/clock.hpp"
-#include "links/list.hpp"
 #include "links/log.hpp"
 #include "links/members.hpp"
 #include "logic.hpp"
@@ -40,7 +40,7 @@
   void closed(StreamId id) override;
 
   std::uint64_t start_roster();
-  void list_read(links::StoreList list);
+  void list_read(links::ServerList list);
   void tell_module();
   void settle();
   void hand_out(Millis now);
@@ -82,7 +82,7 @@
   Offering offering_;
   Streams streams_;
   links::Members members_;
-  links::List list_;
+  discovery::Client list_;
   std::map<StreamId, Proxy> proxies_;
   Doubt told_doubt_ = Doubt::none;
   // What has happened since the last settle: to a stream, to what the module knows, to the roster.
--- /dev/null
+++ b/src/discovery/client.hpp
@@ -0,0 +1,81 @@
+// Carries calls to discovery over HTTP/1.1 and hands on what its lists say. When to call, and when to give a
+// call up, is decided by Poller; what a list changes, by ServerTable. Silence takes nothing away from what is
+// known.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "discovery/list_reader.hpp"
+#include "discovery/poller.hpp"
+#include "discovery/server_table.hpp"
+#include "links/clock.hpp"
+#include "links/log.hpp"
+#include "links/placement.hpp"
+
+namespace reedspindle::discovery {
+
+class Client {
+ public:
+  // How lists are handed on: as what they change, in short parts, what drains at once; or each list as it was
+  // read, whole at a time.
+  enum class Delivery { changes, as_read };
+  using Told = std::function<void(ServerList)>;
+
+  Client(asio::io_context& io, links::Timers& timers, const links::Clock& clock, links::Log& log,
+         const links::Placement& placement, Delivery delivery, Told told);
+  ~Client();
+
+  // Calls begin, and go on by themselves.
+  void watch();
+  // What was known before the start is handed on like a list, of the kind saved.
+  void start_with(ServerList saved);
+  // Discovery is at another address from now on. What is known stays until its whole list comes.
+  void move(const asio::ip::tcp::endpoint& discovery);
+  // What is known is in doubt: the whole list, now.
+  void ask_whole();
+  void stop();
+
+ private:
+  struct Connection;
+  using Connected = std::shared_ptr<Connection>;
+
+  void settle();
+  void carry_out(const Call& call);
+  void carry_out(const GiveUpCall& decision);
+  void carry_out(const TellFailure& failure);
+  void carry_out(const WakeAt& wake);
+
+  void write(const Connected& connection);
+  void read(const Connected& connection);
+  void received(const Connected& connection, const asio::error_code& fault, std::size_t count);
+  void begin_list();
+  void take_row(ListedServer row, const ListReader::Head& head);
+  void answered(const Connected& connection);
+  void hand_on_part();
+  void fail(std::string why, bool spoilt);
+  void close();
+
+  asio::io_context& io_;
+  links::Timers& timers_;
+  const links::Clock& clock_;
+  links::Log& log_;
+  const links::Placement& placement_;
+  const Delivery delivery_;
+  const Told told_;
+  asio::ip::tcp::endpoint discovery_;
+  Poller poller_;
+  ServerTable table_;
+  std::unique_ptr<ListReader> reader_;
+  ServerList as_read_;                 // with that delivery
+  std::vector<ListedServer> at_once_;  // rows of the bytes read last that count before their list has ended
+  ListTaken taken_;                    // of the list whose changes are being handed on
+  ListKind handing_on_ = ListKind::changes;
+  bool watch_wanted_ = false;  // once the saved list has been handed on
+  Connected connection_;       // the one owner of the connection to discovery
+  std::optional<links::Timers::Handle> wake_;
+};
+
+}  // namespace reedspindle::discovery
--- /dev/null
+++ b/src/discovery/server_table.cpp
@@ -0,0 +1,75 @@
+#include "discovery/server_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "values.hpp"
+
+namespace reedspindle::discovery {
+
+void ServerTable::begin() {
+  ++list_;
+  staged_.clear();
+  left_out_ = 0;
+}
+
+std::optional<ListedServer> ServerTable::take(ListedServer row) {
+  const std::string id = row.entry.member.address;
+  const auto found = known_.find(id);
+  if (found == known_.end()) {
+    if (row.entry.state == MemberState::gone) return std::nullopt;
+    if (staged_.contains(id)) throw Malformed("targets: uid is there twice: " + id);
+    if (known_.size() + staged_.size() >= most_)
+      ++left_out_;
+    else
+      staged_.emplace(id, std::move(row));
+    return std::nullopt;
+  }
+  Known& known = found->second;
+  if (std::exchange(known.seen_in, list_) == list_) throw Malformed("targets: uid is there twice: " + id);
+  if (row == known.row) return std::nullopt;
+
+  const bool leaves = row.entry.state != MemberState::ready && row.entry.state != known.row.entry.state;
+  const bool started = row.entry.up_since > known.row.entry.up_since;
+  if (!leaves && !started) {
+    staged_.emplace(id, std::move(row));
+    return std::nullopt;
+  }
+  // Only this much of the row counts before the list has been read to its end.
+  if (leaves) known.row.entry.state = row.entry.state;
+  if (row.entry.state == MemberState::gone) gone_.push_back(id);
+  if (started) known.row.entry.up_since = row.entry.up_since;
+  const ListedServer now = known.row;
+  if (row != now) staged_.emplace(id, std::move(row));
+  return now;
+}
+
+void ServerTable::end(bool whole) {
+  if (whole)
+    for (auto& [id, known] : known_) {
+      if (known.seen_in == list_ || known.row.entry.state == MemberState::gone) continue;
+      known.row.entry.state = MemberState::gone;
+      gone_.push_back(id);
+      changes_[id] = known.row;
+    }
+  for (auto& [id, row] : staged_) {
+    Known& known = known_[id];
+    known.seen_in = list_;
+    known.row = row;
+    changes_[id] = std::move(row);
+  }
+  staged_.clear();
+  for (const std::string& id : std::exchange(gone_, {}))
+    if (const auto found = known_.find(id);
+        found != known_.end() && found->second.row.entry.state == MemberState::gone)
+      known_.erase(found);
+}
+
+std::vector<ListedServer> ServerTable::next_part(std::size_t rows) {
+  std::vector<ListedServer> part;
+  while (part.size() < rows && !changes_.empty())
+    part.push_back(std::move(changes_.extract(changes_.begin()).mapped()));
+  return part;
+}
+
+}  // namespace reedspindle::discovery
--- /dev/null
+++ b/src/discovery/server_table.hpp
@@ -0,0 +1,55 @@
+// What is known of the servers, and what a list that is being read changes in it. That a known server drains,
+// is gone or has started anew counts as soon as its row is read; all else waits until the list has been read
+// to its end without a fault, and is then handed out in parts. Free of I/O.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "links/server_list.hpp"
+
+namespace reedspindle::discovery {
+
+using links::ListedServer;
+
+class ServerTable {
+ public:
+  // How many servers are kept at the most.
+  explicit ServerTable(std::size_t most) : most_(most) {}
+
+  // A list begins; what was read of one that did not end is forgotten.
+  void begin();
+  // The row, if it counts at once, as it is to be handed on. Throws Malformed where the list has that server
+  // twice.
+  std::optional<ListedServer> take(ListedServer row);
+  // The list has ended: what it changes is there for next_part. A whole list leaves out the servers that are
+  // gone.
+  void end(bool whole);
+  // The next of what the last list has changed, so many rows at the most; empty: that was all.
+  std::vector<ListedServer> next_part(std::size_t rows);
+  bool has_parts() const { return !changes_.empty(); }
+
+  std::size_t size() const { return known_.size(); }
+  // Servers of the last list for which there was no room.
+  std::size_t left_out() const { return left_out_; }
+
+ private:
+  struct Known {
+    ListedServer row;
+    std::uint64_t seen_in = 0;  // the list that named it last
+  };
+
+  const std::size_t most_;
+  std::uint64_t list_ = 0;
+  std::map<std::string, Known> known_;
+  std::map<std::string, ListedServer> staged_;  // rows that wait for the end of their list
+  std::map<std::string, ListedServer> changes_;
+  std::vector<std::string> gone_;  // forgotten once the list has ended, unless it has them again
+  std::size_t left_out_ = 0;
+};
+
+}  // namespace reedspindle::discovery
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -18,6 +18,7 @@
       placement_([&] {
         Placement placement = read_placement(environment_);
         placement.values.insert(orders.values.begin(), orders.values.end());
+        saved_list_ = std::exchange(placement.known, {});
         return placement;
       }()),
       clock_(orders.clock_offset),
@@ -32,7 +33,8 @@
           [this](SendEnded ended, std::string row) { send_ended(std::move(ended), std::move(row)); },
           [this](ProbeEnded ended) { noted_.push_back({std::move(ended)}); }),
       clients_(io_, timers_, clock_, log_, placement_, *this),
-      list_(io_, timers_, clock_, log_, placement_, [this](StoreList list) { list_read(std::move(list)); }),
+      list_(io_, timers_, clock_, log_, placement_, discovery::Client::Delivery::changes,
+            [this](ServerList list) { list_read(std::move(list)); }),
       peers_(io_, log_, placement_, [this](int peer, std::string text) {
         noted_.push_back({PeerSpoke{peer, std::move(text)}});
       }) {
@@ -48,11 +50,9 @@
   clients_.listen();
   hear_signals();
   release_signals();
-  if (!placement_.known.is_null()) {
+  if (!saved_list_.empty()) {
     try {
-      StoreList known = read_list(placement_.known, placement_.catalogue);
-      known.kind = ListKind::saved;
-      list_read(std::move(known));
+      list_.start_with(discovery::read_list(std::exchange(saved_list_, {}), placement_.catalogue));
     } catch (const std::exception& fault) {
       log_.warn("list", "saved list does not count", {{"why", fault.what()}});
     }
@@ -162,16 +162,17 @@
   members_.forget(id);
 }
 
-void Front::list_read(StoreList list) {
+void Front::list_read(ServerList list) {
   turns_.doing("list");
   members_.learn(list);
   if (tier_) tier_->list_read(list);
-  ListRead read{list.kind, {}};
-  for (ListedStore& store : list.stores) {
-    groups_.insert(store.entry.group);
-    read.members.push_back(std::move(store.entry));
+  // What was saved is handed on in parts, like any other list: to the module they are changes.
+  ListRead read{list.kind == ListKind::failed ? ListKind::failed : ListKind::changes, {}};
+  for (ListedServer& server : list.servers) {
+    groups_.insert(server.entry.group);
+    read.members.push_back(std::move(server.entry));
   }
-  const bool in_hand = list.kind != ListKind::failed && !read.members.empty();
+  const bool in_hand = list.kind != ListKind::failed && list.last && !groups_.empty();
   noted_.push_back({std::move(read)});
   if (in_hand) clients_.be_ready();
 }
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -10,13 +10,13 @@
 #include <string>
 #include <vector>
 
+#include "discovery/client.hpp"
 #include "front/clients.hpp"
 #include "front/orders.hpp"
 #include "front/peers.hpp"
 #include "front/tier.hpp"
 #include "front/turn_gauge.hpp"
 #include "links/clock.hpp"
-#include "links/list.hpp"
 #include "links/log.hpp"
 #include "links/members.hpp"
 #include "links/pgwire.hpp"
@@ -52,7 +52,7 @@
   std::optional<pgwire::Fault> request_arrived(OpId op, std::string_view text,
                                                const pgwire::Statement& statement) override;
   void request_abandoned(OpId op) override;
-  void list_read(StoreList list);
+  void list_read(ServerList list);
   void send_ended(SendEnded ended, std::string row);
   void run_callbacks();
   void tell_turn();
@@ -74,6 +74,7 @@
   void carry_out(const LogLine& decision);
 
   const Environment environment_;
+  std::string saved_list_;  // of the placement, until it has been read
   const Placement placement_;
   const Clock clock_;
   TurnGauge turns_;
@@ -89,7 +90,7 @@
   Allowance texts_;                         // of the open ops
   Members members_;
   Clients clients_;
-  List list_;
+  discovery::Client list_;
   Peers peers_;
   std::optional<Tier> tier_;  // none: nothing of the fleet is on
 };
--- a/src/front/tier.cpp
+++ b/src/front/tier.cpp
@@ -68,11 +68,12 @@
   tell_fellows();
 }
 
-void Tier::list_read(const StoreList& list) {
+// A list that comes in parts is compared once the last of them is there.
+void Tier::list_read(const ServerList& list) {
   if (!accord_.core || list.kind == ListKind::failed) return;
-  std::vector<ListedMember> entries;
-  for (const ListedStore& store : list.stores) entries.push_back(store.entry);
-  list_.learn(list.kind, static_cast<std::uint64_t>(std::max(0LL, list.revision)), entries);
+  for (const ListedServer& server : list.servers) parts_.push_back(server.entry);
+  if (!list.last) return;
+  list_.learn(list.kind, static_cast<std::uint64_t>(std::max(0LL, list.revision)), std::exchange(parts_, {}));
   if (list.kind != ListKind::saved) compare(accord::Confirmed{});
 }
 
--- a/src/front/tier.hpp
+++ b/src/front/tier.hpp
@@ -12,9 +12,9 @@
 #include "front/orders.hpp"
 #include "front/peers.hpp"
 #include "links/clock.hpp"
-#include "links/list.hpp"
 #include "links/log.hpp"
 #include "links/members.hpp"
+#include "links/server_list.hpp"
 #include "shares/use.hpp"
 
 namespace reedspindle::front {
@@ -31,7 +31,7 @@
 
   void listed(int places);
   // Discovery's list, as it came.
-  void list_read(const StoreList& list);
+  void list_read(const ServerList& list);
   // Before anything is sent: what this front was given may have ended while it stood still.
   void look();
   // Told to the fellows at once; the front may take a while to end.
@@ -87,6 +87,7 @@
   const Listed listed_;
   const Steered steered_;
   accord::ListHeld list_;
+  std::vector<ListedMember> parts_;  // of the list that is being read
   std::set<std::uint32_t> doubted_;  // marks of members
   int places_;
   AmongPeers told_;  // the module
--- a/src/links/members.cpp
+++ b/src/links/members.cpp
@@ -98,24 +98,28 @@
 
 Members::~Members() = default;
 
-void Members::learn(const StoreList& list) {
+void Members::learn(const ServerList& list) {
   if (list.kind == ListKind::failed) return;
-  if (list.kind != ListKind::changes)
-    for (auto& [id, store] : stores_) store->state = MemberState::gone;
-  for (const ListedStore& listed : list.stores) {
+  std::vector<Store*> changed;
+  if (list.kind == ListKind::complete)
+    for (auto& [id, store] : stores_) {
+      store->state = MemberState::gone;
+      changed.push_back(store.get());
+    }
+  for (const ListedServer& listed : list.servers) {
     auto& store = stores_[listed.entry.member];
     if (!store) store = std::make_unique<Store>();
     store->id = listed.entry.member;
     if (std::exchange(store->endpoint, listed.endpoint) != listed.endpoint) store->up_since = clock_.now();
     store->state = listed.entry.state;
     store->up_since = std::max(store->up_since, listed.entry.up_since);
+    changed.push_back(store.get());
   }
-  for (auto& [id, store] : stores_) {
-    const bool leaves = store->state != MemberState::ready;
+  for (Store* store : changed) {
     for (Connection* connection : std::vector(store->idle))
       if (outlived(*connection)) give_back(*connection);
     // The rule counts a send from its first byte, which these have not written.
-    if (leaves)
+    if (store->state != MemberState::ready)
       while (!store->waiting.empty()) end(take_first(*store), Ending::never_sent);
   }
 }
--- a/src/links/members.hpp
+++ b/src/links/members.hpp
@@ -14,10 +14,10 @@
 
 #include "links/buffer.hpp"
 #include "links/clock.hpp"
-#include "links/list.hpp"
 #include "links/log.hpp"
 #include "links/pgwire.hpp"
 #include "links/placement.hpp"
+#include "links/server_list.hpp"
 
 namespace reedspindle::links {
 
@@ -32,7 +32,7 @@
 
   ~Members();
 
-  void learn(const StoreList& list);
+  void learn(const ServerList& list);
   void send(OpId op, const Send& decision, SendNumber number, std::shared_ptr<const std::string> text,
             pgwire::Place patience);
   void call_off(OpId op, SendNumber number);
--- a/src/links/placement.cpp
+++ b/src/links/placement.cpp
@@ -99,7 +99,11 @@
   if (!path || !*path) wrong("ROUTER_CONFIG", "the path of the configuration file");
   std::ifstream file(path);
   if (!file) wrong("ROUTER_CONFIG", fmt::format("a file that can be read, not {},", path));
-  const Json json = Json::parse(file, nullptr, false);
+  // The saved list counts at the start alone, and may be most of the file.
+  const Json::parser_callback_t without_list = [](int depth, Json::parse_event_t event, Json& key) {
+    return depth != 1 || event != Json::parse_event_t::key || key != "known";
+  };
+  const Json json = Json::parse(file, reading == Reading::again ? without_list : nullptr, false);
   if (json.is_discarded() || !json.is_object()) wrong("ROUTER_CONFIG", "a file that holds a JSON object");
   const Key top{&json, ""};
 
@@ -132,7 +136,7 @@
     for (const Key& peer : top.in("peers").rows("an array of addresses"))
       placement.peers.push_back(endpoint_of<Endpoint>(peer.text(address), peer.name));
   }
-  if (const Key known = top.in("known"); known.value) placement.known = *known.value;
+  if (const Key known = top.in("known"); known.value) placement.known = known.value->dump();
 
   const Key settings = top.in("settings");
   if (!settings.value || !settings.value->is_object()) wrong("settings", "an object");
--- a/src/links/placement.hpp
+++ b/src/links/placement.hpp
@@ -39,7 +39,7 @@
   bool hears_peers = false;
   asio::ip::udp::endpoint peer_listen, peers_all;
   std::vector<asio::ip::udp::endpoint> peers;  // by their numbers
-  nlohmann::json known;                        // the list as it was had last; null: none
+  std::string known;                           // the list as it was had last, as JSON; empty: none
   Values values;
   Catalogue catalogue;
   bool list_is_asked = false;  // the module says when to ask for the list
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -74,6 +74,7 @@
   double size = 1;
   Millis up_since = 0;  // 0: long ago
   bool primary = false;
+  bool operator==(const ListedMember&) const = default;
 };
 
 // Positions are batch-clock times up to which a member has applied all commits; below 0: none given.
--- a/src/rig/scale.cpp
+++ b/src/rig/scale.cpp
@@ -34,6 +34,7 @@
 constexpr int kReleaseSteps = 8;
 constexpr int kOutageFrom = 3, kOutageTo = 7;  // steps that discovery does not tell of until the last of them
 constexpr int kClients = 20;
+constexpr int kRank = 1;  // of the front; of two that keep the pace of a group the lower rank goes on
 constexpr int kFirstPort = 20000;                 // below the range from which the system gives ports
 constexpr Millis kPatience = 283;                 // that a client waits for an answer: the report's figure
 constexpr Millis kLostAfter = 500;                // beyond its patience: the standing page's slack
@@ -67,7 +68,7 @@
                 {"importance", 1}};
   };
   return {{"nInstances", day.fronts},
-          {"rank", 0},
+          {"rank", kRank},
           {"quantum", 5 * kNanoseconds},
           {"discovery", "push"},
           {"requestClasses",
@@ -434,7 +435,9 @@
     const int group = static_cast<int>(next_group_++ % static_cast<std::size_t>(groups_));
     std::vector<ToldSample> samples;
     const auto tell = [&](int server) {
-      if (listed_[static_cast<std::size_t>(server)] != Listing::active) return;
+      // The others, too, know of a drain when discovery tells, and keep the pace until then.
+      const auto& unwanted = unwanted_since_[static_cast<std::size_t>(server)];
+      if (listed_[static_cast<std::size_t>(server)] == Listing::absent || unwanted) return;
       const Role role =
           servers_.state(server).primary ? reedspindle::Role::primary : reedspindle::Role::replica;
       samples.push_back({mark_of({fmt::format("s-{:08x}", server)}), {role, servers_.position(server), 0.3}});
@@ -490,7 +493,7 @@
   const std::string peer_address = own_address(kPeerRole);
   peer_.open(asio::ip::udp::v4());
   peer_.bind({asio::ip::make_address(peer_address), kFirstPort});
-  Json peers = {links::text_of(front_at_), fmt::format("{}:{}", peer_address, kFirstPort)};
+  Json peers = {fmt::format("{}:{}", peer_address, kFirstPort), links::text_of(front_at_)};
   for (int other = 2; other < day_.fronts; ++other)
     peers.push_back(fmt::format("{}:{}", peer_address, kFirstPort + other));
   const Json placement = {{"name", "n0"},
--- a/tests/forms.cpp
+++ b/tests/forms.cpp
@@ -4,12 +4,11 @@
 #include <iostream>
 #include <string>
 
-#include "links/list.hpp"
+#include "discovery/client.hpp"
 #include "links/pgwire.hpp"
 
 namespace {
 namespace pgwire = reedspindle::links::pgwire;
-using nlohmann::json;
 
 void print(const pgwire::Fault& fault) { std::cout << "  " << fault.code << ' ' << fault.text << '\n'; }
 
@@ -26,18 +25,16 @@
 void list(const std::string& text) {
   const reedspindle::links::Catalogue catalogue{{}, {{"a", {0}}, {"b", {1}}}, {{"m2", 1}}};
   try {
-    const auto list = reedspindle::links::read_list(json::parse(text), catalogue);
+    const auto list = reedspindle::discovery::read_list(text, catalogue);
     std::cout << "  " << (list.kind == reedspindle::ListKind::complete ? "complete " : "changes ")
               << list.revision << '\n';
     const char* states[] = {"ready", "draining", "gone"};
-    for (const auto& [entry, zone, endpoint] : list.stores)
+    for (const auto& [entry, zone, endpoint] : list.servers)
       std::cout << "  " << entry.member.address << " at " << endpoint.address().to_string() << ':'
                 << endpoint.port() << ", zone " << zone << ' ' << entry.zone.number << ", kind " << entry.kind
                 << ", group " << entry.group.number << ", " << states[static_cast<int>(entry.state)]
                 << ", size " << entry.size << ", up since " << entry.up_since
                 << (entry.primary ? ", primary" : "") << '\n';
-  } catch (const json::exception&) {
-    std::cout << "  no JSON\n";
   } catch (const std::exception& fault) {
     std::cout << "  " << fault.what() << '\n';
   }
