Time that a request waits in the kernel is charged; turns are bounded in time

Change: ArrivalBound says when bytes that are read now can have come at the earliest, from markers through the loop's queue and timers that were late; a request is charged from there. An attempt's times run from the settle that decided it. A turn takes callbacks for 2 ms at the most. Words of peers are read in batches and gathered for 5 ms. Idle connections to servers stand in one order, so that the oldest is found without a look at all servers; forgetting a server looks at connections only where it has some.

--- /dev/null
+++ b/src/front/arrival_bound.hpp
@@ -0,0 +1,54 @@
+// The earliest moment at which bytes that are read now can have come: a request's time runs from when it
+// came, not from when the front found the time to read it. Free of I/O and of clocks; all times are in
+// milliseconds of one clock.
+//
+// The loop sends a marker through its queue of callbacks, one at a time. Between a marker's sending and its
+// return the system is asked at least once which sockets are ready. What is read now was found by such a
+// look; it was not there at the look before, which came after the second last marker was sent. Where the loop
+// sleeps until something comes, it comes as it wakes, unless a timer that was due shows that the process was
+// held up meanwhile.
+#pragma once
+
+#include <algorithm>
+#include <array>
+
+#include "logic.hpp"
+
+namespace reedspindle::front {
+
+class ArrivalBound {
+ public:
+  // Waiting times below this are part of every loop and are not charged: below the figure by which the
+  // network varies how long clients wait.
+  static constexpr Millis kNotCharged = 8;
+  // A timer this late shows that the process was held up, or a callback long.
+  static constexpr Millis kLate = 3;
+
+  // True: a marker is to be sent now.
+  bool marker_wanted() const { return !marker_out_; }
+  void marker_sent(Millis now) {
+    marker_out_ = true;
+    sent_ = {now, sent_[0], sent_[1]};
+  }
+  void marker_returned() { marker_out_ = false; }
+
+  // The loop has nothing to do and sleeps until something comes, or until a timer is due.
+  void sleeps(Millis now, Millis next_timer) {
+    slept_from_ = now;
+    next_timer_ = next_timer;
+  }
+  void wakes(Millis now) {
+    const bool held_up = now > std::max(next_timer_, slept_from_) + kLate;
+    sent_.fill(held_up ? std::min(slept_from_, sent_[2]) : now);
+  }
+
+  // When a request that is read now came at the earliest, or now, where that is not worth charging.
+  Millis earliest(Millis now) const { return now - sent_[2] > kNotCharged ? sent_[2] : now; }
+
+ private:
+  bool marker_out_ = false;
+  Millis slept_from_ = 0, next_timer_ = 0;
+  std::array<Millis, 3> sent_{};  // when the last markers were sent, the last one first
+};
+
+}  // namespace reedspindle::front
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -1,6 +1,7 @@
 #include "front/front.hpp"
 
 #include <csignal>
+#include <ctime>
 #include <utility>
 
 #include "front/held_signals.hpp"
@@ -10,6 +11,11 @@
 // Callbacks that one turn of the loop takes at most before the module is asked: what comes at full speed may
 // not keep the other connections' ops, the timers or the answers waiting.
 constexpr int kOfOneTurn = 64;
+// For so long at the most, in milliseconds.
+constexpr Millis kTurnTime = 2;
+// What peers say is gathered for so long before the module is asked, unless something else makes it be asked:
+// the module's own time between batches.
+constexpr Millis kGatherWords = 5;
 constexpr Millis kAtOnce = 0.001;  // an age that is one, and rounds to none
 }  // namespace
 
@@ -31,19 +37,24 @@
       members_(
           io_, timers_, clock_, log_, placement_,
           [this](SendEnded ended, std::string row) { send_ended(std::move(ended), std::move(row)); },
-          [this](ProbeEnded ended) { noted_.push_back({std::move(ended)}); }),
+          [this](ProbeEnded ended) { note(std::move(ended)); }),
       clients_(io_, timers_, clock_, log_, placement_, *this),
       list_(io_, timers_, clock_, log_, placement_, discovery::Client::Delivery::changes,
             [this](ServerList list) { list_read(std::move(list)); }),
       peers_(io_, log_, placement_, [this](int peer, std::string text) {
         noted_.push_back({PeerSpoke{peer, std::move(text)}});
+        if (!gathered_)
+          gathered_ = timers_.set(clock_.now() + kGatherWords, [this] {
+            gathered_.reset();
+            settle_wanted_ = true;
+          });
       }) {
   log_.be(orders.log);
   if (orders.fleet)
     tier_.emplace(
         timers_, clock_, log_, placement_, *orders.fleet, peers_, members_,
-        [this](AmongPeers among) { noted_.push_back({std::move(among)}); },
-        [this](ListRead read) { noted_.push_back({std::move(read)}); }, [this] { return router_->view(); });
+        [this](AmongPeers among) { note(std::move(among)); },
+        [this](ListRead read) { note(std::move(read)); }, [this] { return router_->view(); });
 }
 
 void Front::run() {
@@ -60,10 +71,10 @@
   if (!placement_.list_is_asked) list_.watch();
   log_.info("front", "listens", {{"name", placement_.name}, {"at", text_of(placement_.listen)}});
   while (!clients_.finished()) {
-    if (noted_.empty()) io_.run_one();
     turns_.begin(clock_.now());
+    if (!settle_wanted_) sleep();
     run_callbacks();
-    if (!noted_.empty()) settle();
+    if (settle_wanted_) settle();
     log_.flush();
     tell_turn();
   }
@@ -75,8 +86,37 @@
   list_.stop();
 }
 
+// Until something comes, which is handled. The turn begins as the loop wakes, of which nothing tells but the
+// processor time that the first callback takes.
+void Front::sleep() {
+  const Millis before = clock_.now();
+  arrivals_.sleeps(before, timers_.next_due().value_or(before));
+  const std::clock_t used = std::clock();
+  io_.run_one();
+  const Millis now = clock_.now();
+  arrivals_.wakes(now);
+  const Millis callback = 1000.0 * static_cast<double>(std::clock() - used) / CLOCKS_PER_SEC;
+  turns_.begin(std::max(before, now - callback));
+  turns_.callback_ended(now);
+}
+
 void Front::run_callbacks() {
-  for (int taken = 0; taken < kOfOneTurn && io_.poll_one() > 0; ++taken) turns_.callback_ended(clock_.now());
+  const Millis until = clock_.now() + kTurnTime;
+  if (arrivals_.marker_wanted()) {
+    arrivals_.marker_sent(clock_.now());
+    asio::post(io_, [this] { arrivals_.marker_returned(); });
+  }
+  for (int taken = 0; taken < kOfOneTurn && io_.poll_one() > 0; ++taken) {
+    const Millis now = clock_.now();
+    turns_.callback_ended(now);
+    if (now >= until) break;
+  }
+}
+
+// What is noted goes to the module at the end of the turn.
+void Front::note(Event event) {
+  noted_.push_back({std::move(event)});
+  settle_wanted_ = true;
 }
 
 void Front::tell_turn() {
@@ -91,9 +131,11 @@
 }
 
 void Front::settle() {
+  settle_wanted_ = false;
+  timers_.drop(gathered_);
   turns_.doing("tier");
   if (tier_) tier_->look();
-  const Millis now = clock_.now();
+  const Millis now = settled_ = clock_.now();
   for (Noted& noted : std::exchange(noted_, {})) {
     if (auto* arrived = std::get_if<OpArrived>(&noted.event)) {
       arrived->patience -= now - noted.arrived;
@@ -133,15 +175,18 @@
   arrived.session = statement.key;
   arrived.patience = statement.patience;
   arrived.repeat = statement.repeat;
-  noted_.push_back({std::move(arrived), clock_.now(), statement.position});
+  // A request that waited in the kernel while the front was busy or held up has that much less time left.
+  const Millis came = arrivals_.earliest(clock_.now());
+  noted_.push_back({std::move(arrived), came, statement.position});
+  settle_wanted_ = true;
   ops_[id] = {std::make_shared<const std::string>(text), std::string(statement.id), statement.patience_place,
-              0, clock_.now()};
+              0, came};
   ids_.emplace(statement.id);
   return std::nullopt;
 }
 
 void Front::request_abandoned(OpId id) {
-  noted_.push_back({OpGone{id}});
+  note(OpGone{id});
   end_op(id, "", "its client left");
 }
 
@@ -173,14 +218,14 @@
     read.members.push_back(std::move(server.entry));
   }
   const bool in_hand = list.kind != ListKind::failed && list.last && !groups_.empty();
-  noted_.push_back({std::move(read)});
+  note(std::move(read));
   if (in_hand) clients_.be_ready();
 }
 
 void Front::send_ended(SendEnded ended, std::string row) {
   if (ended.ending == Ending::acked) end_op(ended.op, std::move(row), "served");
   ended.op_ended = !ops_.contains(ended.op);
-  noted_.push_back({std::move(ended)});
+  note(std::move(ended));
 }
 
 void Front::hear_signals() {
@@ -225,7 +270,7 @@
                 {"attempt", op.sends},
                 {"member", decision.member.address},
                 {"ms", clock_.now() - op.arrived}});
-  members_.send(decision.op, decision, {op.sends++}, op.text, op.patience);
+  members_.send(decision.op, decision, settled_, {op.sends++}, op.text, op.patience);
 }
 void Front::carry_out(const CallOff& decision) { members_.call_off(decision.op, decision.send); }
 void Front::carry_out(const BusyReply& decision) {
@@ -238,7 +283,7 @@
          "no answer in time");
 }
 void Front::carry_out(const Wake& decision) {
-  timers_.set(decision.at, [this, timer = decision.timer] { noted_.push_back({TimerDue{timer}}); });
+  timers_.set(decision.at, [this, timer = decision.timer] { note(TimerDue{timer}); });
 }
 void Front::carry_out(const Probe& decision) { members_.probe(decision.member, decision.time_out); }
 void Front::carry_out(const WatchList&) { list_.watch(); }
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "discovery/client.hpp"
+#include "front/arrival_bound.hpp"
 #include "front/clients.hpp"
 #include "front/orders.hpp"
 #include "front/peers.hpp"
@@ -54,7 +55,9 @@
   void request_abandoned(OpId op) override;
   void list_read(ServerList list);
   void send_ended(SendEnded ended, std::string row);
+  void sleep();
   void run_callbacks();
+  void note(Event event);
   void tell_turn();
   void settle();
   // Why: for the log. No answer: nobody waits for it.
@@ -78,12 +81,16 @@
   const Placement placement_;
   const Clock clock_;
   TurnGauge turns_;
+  ArrivalBound arrivals_;
   Log log_;
   asio::io_context io_;
   Timers timers_;
   asio::signal_set signals_;
   std::unique_ptr<Router> router_;
   std::vector<Noted> noted_;
+  bool settle_wanted_ = false;  // for what was noted; what peers say alone can wait for a while
+  std::optional<Timers::Handle> gathered_;
+  Millis settled_ = 0;
   std::map<OpId, Op> ops_;
   std::set<std::string, std::less<>> ids_;  // of the open ops
   std::set<GroupId> groups_;                // that discovery has named
--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -11,9 +11,11 @@
 namespace reedspindle::front {
 
 constexpr std::size_t kLongest = 256;  // the protocol's limit on a datagram
+constexpr int kTakenAtOnce = 32;
 
 Peers::Peers(asio::io_context& io, Log& log, const Placement& placement, Heard heard)
-    : log_(log), placement_(placement), heard_(std::move(heard)), peers_(placement.peers), socket_(io) {
+    : log_(log), placement_(placement), heard_(std::move(heard)), socket_(io) {
+  learn(placement.peers);
   if (!placement_.hears_peers) return;
   socket_.open(placement_.peer_listen.protocol());
   socket_.bind(placement_.peer_listen);
@@ -21,6 +23,13 @@
   listen();
 }
 
+void Peers::learn(std::vector<asio::ip::udp::endpoint> peers) {
+  peers_ = std::move(peers);
+  numbers_.clear();
+  for (std::size_t number = 0; number < peers_.size(); ++number)
+    numbers_.emplace(peers_[number], static_cast<int>(number));
+}
+
 void Peers::tell(const std::string& text) {
   if (!socket_.is_open()) return;
   if (text.size() > kLongest) return log_.warn("peers", "text too long", {{"bytes", text.size()}});
@@ -82,21 +91,29 @@
   socket_.close(ignored);
 }
 
+// Takes what is there, up to so many datagrams in one callback: many fronts speak in one moment.
 void Peers::listen() {
-  socket_.async_receive_from(
-      asio::buffer(bytes_), sender_, [this](const asio::error_code& fault, std::size_t count) {
-        if (fault == asio::error::operation_aborted || !socket_.is_open()) return;
-        if (refused_) hear_refusals();
-        const auto peer = std::ranges::find(peers_, sender_);
-        if (!fault && count <= kLongest && peer != peers_.end()) {
-          std::string text(bytes_.data(), count);
-          const auto taker =
-              std::ranges::find_if(handed_over_, [&text](const auto& item) { return item.first(text); });
-          (taker == handed_over_.end() ? heard_ : taker->second)(static_cast<int>(peer - peers_.begin()),
-                                                                 std::move(text));
-        }
-        listen();
-      });
+  socket_.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code& fault) {
+    if (fault == asio::error::operation_aborted || !socket_.is_open()) return;
+    if (refused_) hear_refusals();
+    for (int taken = 0; taken < kTakenAtOnce && socket_.is_open(); ++taken) {
+      asio::error_code none;
+      asio::ip::udp::endpoint sender;
+      const std::size_t count = socket_.receive_from(asio::buffer(bytes_), sender, 0, none);
+      if (none == asio::error::would_block) break;
+      if (!none && count <= kLongest) heard({bytes_.data(), count}, sender);
+    }
+    if (socket_.is_open()) listen();
+  });
+}
+
+void Peers::heard(std::string_view bytes, const asio::ip::udp::endpoint& sender) {
+  const auto peer = numbers_.find(sender);
+  if (peer == numbers_.end()) return;
+  std::string text(bytes);
+  const auto taker =
+      std::ranges::find_if(handed_over_, [&text](const auto& item) { return item.first(text); });
+  (taker == handed_over_.end() ? heard_ : taker->second)(peer->second, std::move(text));
 }
 
 }  // namespace reedspindle::front
--- a/src/front/peers.hpp
+++ b/src/front/peers.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <asio.hpp>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -30,11 +31,12 @@
   // From now on as much as comes back of a datagram where nobody listens goes there.
   void on_refusals(Heard refused);
   // The list has changed: who stands where, and who is believed.
-  void learn(std::vector<asio::ip::udp::endpoint> peers) { peers_ = std::move(peers); }
+  void learn(std::vector<asio::ip::udp::endpoint> peers);
   void stop();
 
  private:
   void listen();
+  void heard(std::string_view bytes, const asio::ip::udp::endpoint& sender);
   void hear_refusals();
 
   Log& log_;
@@ -43,8 +45,8 @@
   std::vector<std::pair<Kind, Heard>> handed_over_;
   Heard refused_;  // none: nobody asks
   std::vector<asio::ip::udp::endpoint> peers_;
+  std::map<asio::ip::udp::endpoint, int> numbers_;  // by which they are known
   asio::ip::udp::socket socket_;
-  asio::ip::udp::endpoint sender_;
   std::array<char, 512> bytes_;
 };
 
--- a/src/links/clock.hpp
+++ b/src/links/clock.hpp
@@ -62,6 +62,11 @@
     if (due_.begin()->first == handle) arm();
     return handle;
   }
+  // When the next one is due; none is set: never.
+  std::optional<Millis> next_due() const {
+    if (due_.empty()) return std::nullopt;
+    return due_.begin()->first.first;
+  }
   void drop(const Handle& handle) { due_.erase(handle); }
   // The same for one that may be set; it is set no more.
   void drop(std::optional<Handle>& handle) {
--- a/src/links/members.cpp
+++ b/src/links/members.cpp
@@ -76,7 +76,8 @@
   std::string out;
   enum class State { opening, idle, busy, settling, given_back } state = State::opening;
   Millis opened = 0, idle_since = 0;
-  bool written = false;  // the query's last byte
+  std::list<Connection*>::iterator idle_place;  // while it is idle
+  bool written = false;                         // the query's last byte
   std::unique_ptr<Work> work;
   std::optional<Timers::Handle> limit;  // while it opens or settles
   std::optional<std::string> code;      // of an error while it opens
@@ -129,31 +130,34 @@
   return connection.store.state != MemberState::ready || connection.opened < connection.store.up_since;
 }
 
-void Members::send(OpId op, const Send& decision, SendNumber number, std::shared_ptr<const std::string> text,
-                   pgwire::Place patience) {
+void Members::send(OpId op, const Send& decision, Millis decided, SendNumber number,
+                   std::shared_ptr<const std::string> text, pgwire::Place patience) {
   auto work = std::make_unique<Work>();
   work->send = {op, number};
   work->text = std::move(text);
   work->patience = patience;
   sends_[{op, number}] = work.get();
-  add(*stores_.at(decision.member), std::move(work), decision.time_out, decision.start_within);
+  add(*stores_.at(decision.member), std::move(work), decided, decision.time_out, decision.start_within);
 }
 
 void Members::probe(const MemberId& member, Millis time_out) {
-  add(*stores_.at(member), std::make_unique<Work>(), time_out);
+  add(*stores_.at(member), std::make_unique<Work>(), clock_.now(), time_out);
 }
 
 // Stores are given back here and nowhere else.
 void Members::forget(const MemberId& member) {
-  for (const Connected& connection : std::list(connections_))
-    if (connection->store.id == member) give_back(*connection);
-  stores_.erase(member);
+  const auto found = stores_.find(member);
+  if (found == stores_.end()) return;
+  if (found->second->connections > 0)
+    for (const Connected& connection : std::list(connections_))
+      if (&connection->store == found->second.get()) give_back(*connection);
+  stores_.erase(found);
 }
 
-void Members::add(Store& store, std::unique_ptr<Work> work, Millis time_out,
+void Members::add(Store& store, std::unique_ptr<Work> work, Millis from, Millis time_out,
                   std::optional<Millis> start_within) {
   work->store = &store;
-  work->from = clock_.now();
+  work->from = from;
   work->until = work->from + time_out;
   work->start_by = work->from + std::min(time_out, start_within.value_or(time_out));
   work->limit = timers_.set(work->start_by, [this, late = work.get()] { out_of_time(*late); });
@@ -228,13 +232,13 @@
 // query's last byte is out. Guards against taking a query for one that never ran because what broke its
 // connection was read before the end of the writing was told: a second attempt would have its effect twice.
 void Members::begin(Connection& connection, std::unique_ptr<Work> work) {
+  const Millis now = clock_.now();
   connection.state = Connection::State::busy;
   work->on = &connection;
   timers_.drop(work->limit);
   work->limit = timers_.set(work->until, [this, late = work.get()] { out_of_time(*late); });
   connection.out = pgwire::query(
-      work->send ? pgwire::with_patience(*work->text, work->patience, work->until - clock_.now())
-                 : "SHOW vitals");
+      work->send ? pgwire::with_patience(*work->text, work->patience, work->until - now) : "SHOW vitals");
   connection.work = std::move(work);
   asio::error_code fault;
   const std::size_t count = connection.socket.write_some(asio::buffer(connection.out), fault);
@@ -355,7 +359,7 @@
 void Members::settle(Connection& connection) {
   // Half a line that was left there: it would swallow the answer.
   if (!connection.buffer.held().empty()) return void(give_back(connection));
-  std::erase(connection.store.idle, &connection);
+  stop_idling(connection);
   connection.state = Connection::State::settling;
   ++connection.store.coming;
   connection.written = false;  // until the answer to the empty query begins
@@ -392,6 +396,7 @@
   connection.state = Connection::State::idle;
   connection.idle_since = clock_.now();
   connection.store.idle.push_back(&connection);
+  connection.idle_place = idle_.insert(idle_.end(), &connection);
   Store& store = connection.store;
   if (outlived(connection) || (store.connections > open_ && store.waiting.empty())) give_back(connection);
   dispatch(store);
@@ -478,7 +483,7 @@
 std::unique_ptr<Members::Work> Members::give_back(Connection& connection) {
   if (connection.state == Connection::State::opening || connection.state == Connection::State::settling)
     --connection.store.coming;
-  if (connection.state == Connection::State::idle) std::erase(connection.store.idle, &connection);
+  if (connection.state == Connection::State::idle) stop_idling(connection);
   connection.state = Connection::State::given_back;
   timers_.drop(connection.limit);
   asio::error_code ignored;
@@ -495,23 +500,23 @@
   return work;
 }
 
+void Members::stop_idling(Connection& connection) {
+  std::erase(connection.store.idle, &connection);
+  idle_.erase(connection.idle_place);
+}
+
 bool Members::close_an_idle_one() {
-  Connection* oldest = nullptr;
-  for (auto& [id, store] : stores_)
-    for (Connection* connection : store->idle)
-      if (!oldest || connection->idle_since < oldest->idle_since) oldest = connection;
-  if (oldest) give_back(*oldest);
-  return oldest != nullptr;
+  if (idle_.empty()) return false;
+  give_back(*idle_.front());
+  return true;
 }
 
 // Stores close what stands idle for the stated time; a tenth of it before, the connection is closed here, so
 // that no send crosses that. Twice as often as that tenth, so that none is missed.
 void Members::sweep() {
   const Millis tenth = placement_.connection_idle / 10;
-  for (auto& [id, store] : stores_)
-    for (Connection* connection : std::vector(store->idle))
-      if (clock_.now() - connection->idle_since > placement_.connection_idle - 1.5 * tenth)
-        give_back(*connection);
+  const Millis long_ago = clock_.now() - placement_.connection_idle + 1.5 * tenth;
+  while (!idle_.empty() && idle_.front()->idle_since < long_ago) give_back(*idle_.front());
   sweep_ = timers_.set(clock_.now() + tenth / 2, [this] { sweep(); });
 }
 
--- a/src/links/members.hpp
+++ b/src/links/members.hpp
@@ -33,8 +33,9 @@
   ~Members();
 
   void learn(const ServerList& list);
-  void send(OpId op, const Send& decision, SendNumber number, std::shared_ptr<const std::string> text,
-            pgwire::Place patience);
+  // The times of the decision run from when it was taken.
+  void send(OpId op, const Send& decision, Millis decided, SendNumber number,
+            std::shared_ptr<const std::string> text, pgwire::Place patience);
   void call_off(OpId op, SendNumber number);
   // The op has ended: what is not written of it yet never will be.
   void forget(OpId op);
@@ -55,7 +56,7 @@
   struct Connection;
   using Connected = std::shared_ptr<Connection>;
 
-  void add(Store& store, std::unique_ptr<Work> work, Millis time_out,
+  void add(Store& store, std::unique_ptr<Work> work, Millis from, Millis time_out,
            std::optional<Millis> start_within = {});
   void dispatch(Store& store);
   void open(Store& store);
@@ -81,6 +82,7 @@
   void sweep();
   void shrink(Store& store);
   void count(const Store& store);
+  void stop_idling(Connection& connection);
   // Gives back the connection that has been idle longest, of any store. False: none is idle.
   bool close_an_idle_one();
 
@@ -94,6 +96,7 @@
   Allowance allowance_;  // what is held of what stores send
   std::map<MemberId, std::unique_ptr<Store>> stores_;
   std::list<Connected> connections_;  // the one owner of each
+  std::list<Connection*> idle_;       // of all stores, the one that has been idle longest first
   std::map<std::pair<OpId, SendNumber>, Work*> sends_;
   std::optional<Timers::Handle> sweep_;
   std::size_t open_ = kAny, hold_ = kAny, need_ = 0;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -501,6 +501,15 @@
       std::cout << "  " << checked(store.gets.front()) << '\n';
       return store.gets.pop_front();
     }
+    if (what == "gets-within") {  // "gets-within 1300": told at most so many ms to wait
+      long most = 0;
+      line >> most;
+      wait_for("a send", [&] { return !store.gets.empty(); });
+      const std::string& got = store.gets.front();
+      const long told = std::stol(got.substr(got.find(",d=") + 3));
+      std::cout << (told <= most ? "  true\n" : "  but told to wait " + std::to_string(told) + " ms\n");
+      return store.gets.pop_front();
+    }
     if (what == "got-nothing") {  // of which all that it could have been sent has come
       std::cout << (store.gets.empty() ? "  true\n" : "  but " + store.gets.front() + "\n");
       return;
