Reads prefer replicas with an open connection where a group has few requests; a list's part ends a turn

Where a front has under three requests for a group in the time that a connection may stand idle, reads among replicas that pass the design's tests go to one that has a connection. The settings' connIdle reaches the module for it; without it nothing changes (tests/decisions as before).

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -102,6 +102,7 @@
 
 void Front::run_callbacks() {
   const Millis until = clock_.now() + kTurnTime;
+  if (turn_is_full_) return;
   if (arrivals_.marker_wanted()) {
     arrivals_.marker_sent(clock_.now());
     asio::post(io_, [this] { arrivals_.marker_returned(); });
@@ -109,7 +110,7 @@
   for (int taken = 0; taken < kOfOneTurn && io_.poll_one() > 0; ++taken) {
     const Millis now = clock_.now();
     turns_.callback_ended(now);
-    if (now >= until) break;
+    if (now >= until || turn_is_full_) break;
   }
 }
 
@@ -131,7 +132,7 @@
 }
 
 void Front::settle() {
-  settle_wanted_ = false;
+  settle_wanted_ = turn_is_full_ = false;
   timers_.drop(gathered_);
   turns_.doing("tier");
   if (tier_) tier_->look();
@@ -209,6 +210,7 @@
 
 void Front::list_read(ServerList list) {
   turns_.doing("list");
+  turn_is_full_ = !list.servers.empty();
   members_.learn(list);
   if (tier_) tier_->list_read(list);
   // What was saved is handed on in parts, like any other list: to the module they are changes.
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -89,6 +89,7 @@
   std::unique_ptr<Router> router_;
   std::vector<Noted> noted_;
   bool settle_wanted_ = false;  // for what was noted; what peers say alone can wait for a while
+  bool turn_is_full_ = false;   // a part of a list is enough work for one
   std::optional<Timers::Handle> gathered_;
   Millis settled_ = 0;
   std::map<OpId, Op> ops_;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -103,10 +103,11 @@
   double more = 1;  // how many times its cold credit it gets, for it shows processors free
   Millis yielded = kNever, credit_at = kNever, rests_until = kNever, gone_since = kNever, hurt = kNever,
          busy_at = kNever;
-  double busy = 0;          // share of its processors in use
-  bool unanswered = false;  // the last word on it: a probe, of whomever, had no answer
-  bool was_late = false;    // its last answer
-  bool was_gone = false;    // before the list that is being read
+  double busy = 0;              // share of its processors in use
+  bool unanswered = false;      // the last word on it: a probe, of whomever, had no answer
+  bool was_late = false;        // its last answer
+  Millis answered_at = kNever;  // on a connection that has not been seen to break since
+  bool was_gone = false;        // before the list that is being read
   int out = 0;
   long turn = 0, mark = 0;
 };
@@ -117,6 +118,8 @@
   bool asked = false, touched = false;  // asked: an op waits for a sample
   bool mine = false;                    // this instance keeps the pace for all
   GroupId id;
+  double requests = 0;  // of late: an old one counts less, by the time that a connection may stand idle
+  Millis requests_at = kNever;  // when they were counted last
   int turn = -1;  // how many that are there come before this instance as keepers; below 0: not known
 };
 
@@ -311,11 +314,24 @@
     // A millisecond to the cautious side: positions are rounded down, ages may be rounded either way.
     if (arrived.token_age != 0) op.token = now_ - std::floor(arrived.token_age) + 1;
     op.chance = roll();
+    count_request(op.group);
     op.token = std::max(op.token, remembered_floor_);
     if (const auto mine = remembered_.find(arrived.session); mine != remembered_.end())
       op.token = std::max(op.token, mine->second);
   }
 
+  void count_request(GroupId id) {
+    const auto found = groups_.find(id);
+    if (found == groups_.end() || connection_idle_ <= 0) return;
+    Group& group = found->second;
+    group.requests = 1 + requests_of_late(group);
+    group.requests_at = now_;
+  }
+  double requests_of_late(const Group& group) const {
+    return group.requests * std::exp(-std::max(0.0, now_ - group.requests_at) / connection_idle_);
+  }
+  const Millis connection_idle_ = catalog_.number("allow.connection_idle");  // 0: not stated
+
   // How long the client has been asking already, the latency target running since its first try. First tries
   // share one patience; any other is what is left of the op timeout. Where no patience is common to a quarter
   // of the last ops, nothing is concluded. Guards against repeats crowding out first tries.
@@ -352,6 +368,7 @@
       see(member, ended.seen, dated ? ended.seen.position : now_, now_,
           is(Ending::acked) && type.needs == Needs::write);
     }
+    member.answered_at = is(Ending::acked, Ending::errored, Ending::turned_away_untouched) ? now_ : kNever;
     if (is(Ending::acked)) {
       remember(was.op.session, ended, type);
       if (warmth(member) >= 1) keep(acked_, now_, 10000);
@@ -403,6 +420,7 @@
       group.mine = hears() && (group.mine || ended.answered);
     }
     if (!ended.answered) return;
+    member.answered_at = now_;
     good(member);
     see(member, ended.seen, ended.seen.position, now_);
   }
@@ -692,7 +710,8 @@
     if (type.primary_only())
       return primary_usable && has_room(*primary, op, type.long_work, 1) ? primary : nullptr;
     Member* best = nullptr;
-    std::pair<int, long> best_rank;
+    std::tuple<int, bool, long> best_rank;
+    const bool enough_connections = !more_connections_wanted(group, primary);
     const double members = static_cast<double>(group.members.size());
     long kept = std::max(std::lround(long_part_ * members), type.long_work ? 1L : 0L);
     for (Member* member : group.members) {
@@ -706,10 +725,11 @@
       if (!fits && !will_do) continue;
       int tier = (!fits || keeps) + 4 * down(*member);
       if (zone_price_ > 0 && member->entry.zone.number != zone_) tier += 2;
-      const std::pair<int, long> rank{type.long_work ? tier / 4 * 4 + !keeps : tier, member->turn};
+      const std::tuple<int, bool, long> rank{type.long_work ? tier / 4 * 4 + !keeps : tier,
+                                             enough_connections && !connected(*member), member->turn};
       if (!best || rank < best_rank) best = member, best_rank = rank;
     }
-    if (best && best_rank.first < 4) return best;
+    if (best && std::get<0>(best_rank) < 4) return best;
     group.asked = group.asked || (!best && !stores_check_);
     // A primary takes reads into half its limit, up to 0.8 of it as they come to be of as much value for
     // their time as what only it can do. Guards the primary when replicas fall behind.
@@ -717,6 +737,24 @@
     return primary_usable && has_room(*primary, op, type.long_work, part) ? primary : best;
   }
 
+  // A connection that stands idle is closed before the server would close it, at nine tenths of the stated
+  // time.
+  bool connected(const Member& member) const {
+    return member.answered_at > member.cold_since && now_ - member.answered_at < 0.9 * connection_idle_;
+  }
+  // Guards against a new connection for nearly every request where a front has few requests for each of many
+  // groups: in a group as many replicas are used as have some requests each in the time that a connection may
+  // stand idle.
+  bool more_connections_wanted(const Group& group, const Member* primary) const {
+    if (connection_idle_ <= 0) return true;
+    const auto open = std::ranges::count_if(
+        group.members, [&](const Member* member) { return member != primary && connected(*member); });
+    return static_cast<double>(open) < std::max(1.0, requests_of_late(group) / kRequestsOfConnection);
+  }
+  // A handshake costs a server about a tenth of a request's work: with three requests to a connection that is
+  // lost in what the work itself varies by.
+  static constexpr double kRequestsOfConnection = 3;
+
   // Long work blocks the log where it runs, so it is kept together: on the first replicas in the order of
   // their marks, which all instances know without a word, and on as many as is its part of all work.
   double part_of_long_work() const {
--- a/src/rig/scale.cpp
+++ b/src/rig/scale.cpp
@@ -162,6 +162,7 @@
   std::unique_ptr<Client> pinger_;
   Millis pinged_ = 0;
   bool resting_ = false;
+  bool ready_ = false;  // the front has answered
   std::vector<double> pings_;
   asio::ip::udp::socket peer_{io_};
   std::size_t next_group_ = 0;
@@ -472,7 +473,8 @@
     if (line.starts_with("VmHWM:")) cost_.peak_memory_mb = std::stod(line.substr(6)) / 1024;
   std::error_code gone;
   const auto descriptors = std::distance(std::filesystem::directory_iterator(folder + "fd", gone), {});
-  if (!gone) cost_.descriptors = std::max(cost_.descriptors, static_cast<std::size_t>(descriptors));
+  // Before it is ready it may not have begun yet: a fork still holds what its parent does.
+  if (!gone && ready_) cost_.descriptors = std::max(cost_.descriptors, static_cast<std::size_t>(descriptors));
   for (const Json& line : front_.log_lines())
     if (line.value("event", "") == "longest turn")
       cost_.longest_turn_ms = std::max(cost_.longest_turn_ms, line.value("ms", 0.0));
@@ -518,6 +520,7 @@
   while (pings_.empty() && clock_.now() < ready_by && !cost_.crashed) io_.run_one();
   if (pings_.empty()) throw std::runtime_error("the front was not ready in time");
   pings_.clear();
+  ready_ = true;
 
   for (int client = 0; client < kClients; ++client) {
     clients_.push_back(std::make_unique<Client>(io_));
--- a/src/values.cpp
+++ b/src/values.cpp
@@ -61,6 +61,7 @@
       {"discovery", "list", 1},
       {"weights", "sizes", 1},
       {"ceilings.cancel", "allow.call_off", 1},
+      {"ceilings.connIdle", "allow.connection_idle", kNsPerMs},
       {"ceilings.connectTimeout", "allow.connect_time_out", kNsPerMs},
       {"ceilings.maxAttempts", "allow.sends_per_op", 1},
       {"ceilings.maxOpen", "allow.open_ops", 1},
