--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -331,6 +331,11 @@
     return group.requests * std::exp(-std::max(0.0, now_ - group.requests_at) / connection_idle_);
   }
   const Millis connection_idle_ = catalog_.number("allow.connection_idle");  // 0: not stated
+  // Guards against probing for nobody: a group costs what its requests cost, not that it is there. Which
+  // front keeps the pace by the fleet's view does so for the others, too.
+  bool in_use(const Group& group) const {
+    return connection_idle_ <= 0 || group.turn == 0 || now_ - group.requests_at < connection_idle_;
+  }
 
   // How long the client has been asking already, the latency target running since its first try. First tries
   // share one patience; any other is what is left of the op timeout. Where no patience is common to a quarter
@@ -447,7 +452,7 @@
       Member* const found = marks_.find(mark);
       if (!found) continue;
       Member& member = *found;
-      Group& group = touch(member);
+      Group& group = in_use(*member.group) ? touch(member) : *member.group;
       const bool answered = seen.role != Role::unknown;
       // Of two that keep the pace one goes on.
       group.mine = group.mine && (!answered || keeps_before(group, spoke.peer));
@@ -819,7 +824,7 @@
   // When the next probe of a member is due. The pace is kept by the instance that was the last to tell of the
   // group, or by others when it is left untold; sooner when an op waits for a sample, failed or is overdue.
   Millis probe_at(const Group& group, const Member& member) const {
-    if (!may_probe_ || member.probe_out != kNever || !sendable(member)) return kForever;
+    if (!may_probe_ || member.probe_out != kNever || !sendable(member) || !in_use(group)) return kForever;
     // Guards against probing members for the sake of one slow op or one ended connection: of one that others
     // tell of, only the path can be at fault. It is given four times the time, by when the op is late anyway,
     // and a second failed op. One that is down by its ops is looked at once others tell of it.
