--- a/src/discovery/server_table.cpp
+++ b/src/discovery/server_table.cpp
@@ -29,8 +29,11 @@
   if (std::exchange(known.seen_in, list_) == list_) throw Malformed("targets: uid is there twice: " + id);
   if (row == known.row) return std::nullopt;
 
-  const bool leaves = row.entry.state != MemberState::ready && row.entry.state != known.row.entry.state;
-  const bool started = row.entry.up_since > known.row.entry.up_since;
+  // One that is gone comes back, if only to drain, with a list that has been read to its end.
+  const MemberState before = known.row.entry.state;
+  const bool is_there = before != MemberState::gone;
+  const bool leaves = is_there && row.entry.state != MemberState::ready && row.entry.state != before;
+  const bool started = is_there && row.entry.up_since > known.row.entry.up_since;
   if (!leaves && !started) {
     staged_.emplace(id, std::move(row));
     return std::nullopt;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -646,6 +646,37 @@
     return discovery_.held.find("\r\n\r\n") != std::string::npos;
   }
 
+  // A whole list with many servers of another group before the stage's own, a part at a time. "half" ends it
+  // before its last byte, and the connection stays.
+  void tell_long(const std::string& rest) {
+    std::istringstream line(rest);
+    int rev = 0, more = 0, over = 0;
+    std::string name, state, how;
+    line >> rev >> more >> over >> name >> state >> how;
+    if (!name.empty()) rows_.at(name)["state"] = state;
+    Json targets = Json::array();
+    for (const auto& [own, row] : rows_) targets.push_back(row);
+    for (int number = 0; number < more; ++number) {
+      Json row = rows_.begin()->second;
+      row["uid"] = fmt::format("long-{:08x}", number);
+      row["pod_group"] = 1000 + number / 6;
+      targets.push_back(row);
+    }
+    const std::string body = Json{{"rev", rev}, {"all", true}, {"targets", targets}}.dump(4);
+    put(discovery_.fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+    constexpr int kParts = 20;
+    const std::size_t until = how == "half" ? body.size() - 2 : body.size();
+    const auto began = std::chrono::steady_clock::now();
+    for (int part = 0; part < kParts; ++part) {
+      const std::size_t from = until * static_cast<std::size_t>(part) / kParts;
+      const std::size_t to = until * static_cast<std::size_t>(part + 1) / kParts;
+      put(discovery_.fd, body.substr(from, to - from));
+      wait_for("its time", [&] {
+        return std::chrono::steady_clock::now() >= began + std::chrono::milliseconds(over) * part / kParts;
+      });
+    }
+  }
+
   void discovery(const std::string& what, const std::string& rest) {
     if (what == "adds") return void(behind_list_ = unescaped(rest));  // to the next answer, in one segment
     if (what == "tells" || what == "says") renew_discovery();
@@ -662,6 +693,9 @@
       const std::string body = list_of(rev, kind == "all", name);
       put(discovery_.fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
                              body + std::exchange(behind_list_, ""));
+    } else if (what == "tells-long") {  // "tells-long 44 4000 0 b leaving": of so many more, indented, over
+                                        // so many ms
+      tell_long(rest);
     } else if (what == "says") {
       put(discovery_.fd, unescaped(rest));
     } else if (what == "moves") {  // the old address takes no new connections, what is open there stays
