--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -716,7 +716,8 @@
       return primary_usable && has_room(*primary, op, type.long_work, 1) ? primary : nullptr;
     Member* best = nullptr;
     std::tuple<int, bool, long> best_rank;
-    const bool enough_connections = !more_connections_wanted(group, primary);
+    // While no primary is known every replica may name it.
+    const bool enough_connections = primary && !more_connections_wanted(group, primary);
     const double members = static_cast<double>(group.members.size());
     long kept = std::max(std::lround(long_part_ * members), type.long_work ? 1L : 0L);
     for (Member* member : group.members) {
