--- a/src/rig/surroundings.cpp
+++ b/src/rig/surroundings.cpp
@@ -100,7 +100,8 @@
   }
   for (int front = 0; front < plan.fronts; ++front) {
     agents_.push_back(std::make_unique<Discovery>(
-        io, timers, clock, own(kStandIns, plan.stores + front), [this, front](long long) { return list_of(front); },
+        io, timers, clock, own(kStandIns, plan.stores + front),
+        [this, front](long long) { return list_of(front); },
         [this, front](const Endpoint& to, std::size_t bytes, long long) {
           // What never arrived, for its connection broke, is forgotten with the oldest.
           if (underway_.size() > kUnderway) underway_.erase(underway_.begin());
