What waited behind a long settle is charged, a hold-up from when a timer was due

On reading the change again: a loop that slept right after a long settle took all that was pending for new, and a process that was woken late at its start charged requests since time zero. ArrivalBound now starts with the clock, keeps what the last complete look at the sockets says, and charges a hold-up from the timer that shows it (known to 50 ms, by which timers lie apart). Test: arrivals, the loops one by one.

--- a/src/front/arrival_bound.hpp
+++ b/src/front/arrival_bound.hpp
@@ -18,6 +18,8 @@
 
 class ArrivalBound {
  public:
+  explicit ArrivalBound(Millis now) : none_ready_(now) { sent_.fill(now); }
+
   // Waiting times below this are part of every loop and are not charged: below the figure by which the
   // network varies how long clients wait.
   static constexpr Millis kNotCharged = 8;
@@ -32,14 +34,19 @@
   }
   void marker_returned() { marker_out_ = false; }
 
-  // The loop has nothing to do and sleeps until something comes, or until a timer is due.
+  // The system was asked at this time or later which sockets are ready, and none was.
+  void none_ready(Millis since) { none_ready_ = since; }
+  // The loop sleeps until something comes, or until a timer is due.
   void sleeps(Millis now, Millis next_timer) {
     slept_from_ = now;
-    next_timer_ = next_timer;
+    next_timer_ = std::max(now, next_timer);
   }
+  // What was there before the loop slept, behind a long settle or callbacks that were left for the next turn,
+  // has waited since the last looks. What wakes it has just come, unless a late timer shows a hold-up: then
+  // it may have come since that timer was due.
   void wakes(Millis now) {
-    const bool held_up = now > std::max(next_timer_, slept_from_) + kLate;
-    sent_.fill(held_up ? std::min(slept_from_, sent_[2]) : now);
+    if (marker_out_ || slept_from_ - none_ready_ > kNotCharged) return;
+    sent_.fill(now > next_timer_ + kLate ? next_timer_ : now);
   }
 
   // When a request that is read now came at the earliest, or now, where that is not worth charging.
@@ -47,7 +54,7 @@
 
  private:
   bool marker_out_ = false;
-  Millis slept_from_ = 0, next_timer_ = 0;
+  Millis none_ready_ = 0, slept_from_ = 0, next_timer_ = 0;
   std::array<Millis, 3> sent_{};  // when the last markers were sent, the last one first
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -101,16 +101,18 @@
 }
 
 void Front::run_callbacks() {
-  const Millis until = clock_.now() + kTurnTime;
   if (turn_is_full_) return;
+  Millis now = clock_.now();
+  const Millis until = now + kTurnTime;
   if (arrivals_.marker_wanted()) {
-    arrivals_.marker_sent(clock_.now());
+    arrivals_.marker_sent(now);
     asio::post(io_, [this] { arrivals_.marker_returned(); });
   }
-  for (int taken = 0; taken < kOfOneTurn && io_.poll_one() > 0; ++taken) {
-    const Millis now = clock_.now();
+  for (int taken = 0; taken < kOfOneTurn && now < until && !turn_is_full_; ++taken) {
+    const Millis before = now;
+    if (io_.poll_one() == 0) return arrivals_.none_ready(before);
+    now = clock_.now();
     turns_.callback_ended(now);
-    if (now >= until || turn_is_full_) break;
   }
 }
 
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -81,7 +81,7 @@
   const Placement placement_;
   const Clock clock_;
   TurnGauge turns_;
-  ArrivalBound arrivals_;
+  ArrivalBound arrivals_{clock_.now()};
   Log log_;
   asio::io_context io_;
   Timers timers_;
