--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -182,11 +182,12 @@
     const double shown = position(number);
     const bool old = shown < last_byte - kBound - kSlack;
     const int missing = old ? commits_->commits_between(shown, last_byte - kBound - kSlack) : 0;
-    record_.line(
-        rig::text("store %d (%s): ran %s, its last byte came at %.1f, answered as of %.1f: %.0f ms before%s",
-                  number, number ? "replica" : "primary", statement.id.c_str(), last_byte - start_,
-                  shown - start_, last_byte - shown,
-                  old ? rig::text(" TOO OLD, %d writes older than that are missing", missing).c_str() : ""));
+    record_.line(rig::text(
+        "store %d (%s): ran %s on a connection that came up %.0f ms late, last byte at %.1f, answered as of "
+        "%.1f: %.0f ms before%s",
+        number, number ? "replica" : "primary", statement.id.c_str(), rig::Store::delay_of_connection(),
+        last_byte - start_, shown - start_, last_byte - shown,
+        old ? rig::text(" TOO OLD, %d writes older than that are missing", missing).c_str() : ""));
     {
       const std::lock_guard lock(mutex_);
       answers_[statement.id] = {number, old, missing};
--- a/review/common/rig.hpp
+++ b/review/common/rig.hpp
@@ -444,13 +444,15 @@
   std::function<double()> connection_delay;  // ms until a new connection comes up
   std::function<double()> idle_limit;        // ms after which an idle connection is closed
   std::atomic<int> connections{0}, late_connections{0};
+  // Of the connection that the present statement came on: how late it came up, in ms.
+  static double delay_of_connection() { return delay_; }
 
  protected:
   void serve(Socket& socket) override {
     ++connections;
-    const double delay = connection_delay ? connection_delay() : 0;
-    late_connections += delay > 0 ? 1 : 0;
-    sleep_ms(delay);
+    delay_ = connection_delay ? connection_delay() : 0;
+    late_connections += delay_ > 0 ? 1 : 0;
+    sleep_ms(delay_);
     std::string bytes;
     while (bytes.size() < 4 || bytes.size() < number_at(bytes, 0, 4)) {
       if (socket.read_some(bytes, now_ms() + 1e6) <= 0) {
@@ -496,6 +498,9 @@
       }
     }
   }
+
+ private:
+  inline static thread_local double delay_ = 0;
 };
 
 // What a client got for one statement.
