--- a/review/common/rig.hpp
+++ b/review/common/rig.hpp
@@ -152,12 +152,6 @@
     }
     return true;
   }
-  // Ends the connection by a reset.
-  void abort() {
-    const linger now{1, 0};
-    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-    reset();
-  }
 
  private:
   int fd_;
@@ -355,6 +349,9 @@
       }
     }
     threads_.join();
+    while (serves()) {
+      sleep_ms(5);
+    }
   }
 
  protected:
@@ -370,21 +367,26 @@
       }
       const int on = 1;
       setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      threads_.start([this, held = std::make_shared<Socket>(std::move(socket))] {
-        {
-          const std::lock_guard lock(open_mutex_);
-          open_.insert(held->fd());
-        }
+      {
+        const std::lock_guard lock(open_mutex_);
+        open_.insert(socket.fd());
+        ++serving_;
+      }
+      // Not joined: stop() waits until none is left.
+      std::thread([this, held = std::make_shared<Socket>(std::move(socket))] {
         const int fd = held->fd();
         serve(*held);
-        {
-          const std::lock_guard lock(open_mutex_);
-          open_.erase(fd);
-        }
+        const std::lock_guard lock(open_mutex_);
+        open_.erase(fd);
         held->reset();
-      });
+        --serving_;
+      }).detach();
     }
   }
+  [[nodiscard]] bool serves() {
+    const std::lock_guard lock(open_mutex_);
+    return serving_ > 0;
+  }
 
   int port_ = 0;
   Socket listener_;
@@ -392,6 +394,7 @@
   std::atomic<bool> stopping_{false};
   std::mutex open_mutex_;
   std::set<int> open_;
+  int serving_ = 0;
 };
 
 // Discovery's agent: tells one list, and nothing new on a watch.
@@ -433,10 +436,8 @@
 // A store: the protocol. What it holds, and how it answers, is for the case to say.
 class Store : public Server {
  public:
-  // How a statement ends: bytes to write, and whether the connection is reset after `cut` of them.
   struct Answer {
     std::string bytes;
-    std::optional<std::size_t> cut = std::nullopt;
   };
   // `last_byte` is when the statement's last byte had come.
   std::function<Answer(const std::string& sql, double last_byte)> on_statement;
@@ -487,12 +488,6 @@
       } else {
         answer.bytes = message('C', std::string("SET") + '\0') + ready();
       }
-      if (answer.cut) {
-        socket.write_all(answer.bytes.substr(0, *answer.cut));
-        sleep_ms(5);  // what was written arrives before the reset
-        socket.abort();
-        return;
-      }
       if (!socket.write_all(answer.bytes)) {
         return;
       }
