Resting peers give back read memory; a client without memory gets an answer

Cause: a grown buffer went back to the common budget at the start of the next read only, and reading began when the peer sent again. A client without space was closed with its bytes unread.

Change: buffers of clients and servers give back what their data does not need before each wait. Where memory is used up, the peer that is quiet in mid-message longest is given up (a client after 2 s, a server after its time to connect); if there is none, the client gets 53300 and an orderly close. Dropped bytes need no memory of the budget. Idle server connections with half a message end at once.

Tests, each fails on: proxy_resting_clients (gives up at client 9), proxy_clients_stop_in_statement, proxy_servers_stop_in_response.

--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -2,7 +2,9 @@
 // closes it.
 #include <poll.h>
 
+#include <array>
 #include <random>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -44,6 +46,7 @@
 // not tell that its request was not handled.
 void ClientConnections::read(const ConnectionPtr& connection) {
   using State = ClientConnection::State;
+  connection->buffer.release_unused();  // the client may rest for as long as it likes
   if (connection->reading || connection->state == State::closed) {
     return;
   }
@@ -66,10 +69,19 @@
 }
 
 void ClientConnections::read_now(const ConnectionPtr& connection) {
-  const auto space = connection->buffer.prepare(kReadBytes);
+  if (!connection->accepts_commands()) {
+    return discard_now(connection);
+  }
+  std::span<char> space = connection->buffer.prepare(kReadBytes);
+  while (space.empty() && free_read_memory()) {
+    space = connection->buffer.prepare(kReadBytes);
+  }
+  if (!connection->accepts_commands()) {
+    return;  // its own buffer was freed
+  }
   if (space.empty()) {
     log_.warn("clients", "client connection closed", {{"reason", "read buffer memory exhausted"}});
-    return abort(*connection);
+    return close_with_error(*connection, "53300", "too many long statements at once");
   }
   asio::error_code error;
   const std::size_t count = connection->socket.read_some(asio::buffer(space.data(), space.size()), error);
@@ -79,16 +91,25 @@
   if (error) {
     return handle_disconnect(*connection);
   }
-  if (!connection->accepts_commands()) {  // the bytes are discarded
-    connection->discarded += count;
-    return read(connection);
-  }
   connection->buffer.commit(count);
   connection->last_activity = clock_.now();
   handle_commands(*connection);
   read(connection);
 }
 
+// Reads and drops bytes. Takes no memory from the budget, so that a client can always be read out before its
+// connection is closed.
+void ClientConnections::discard_now(const ConnectionPtr& connection) {
+  std::array<char, kReadBytes> dropped{};
+  asio::error_code error;
+  const std::size_t count = connection->socket.read_some(asio::buffer(dropped), error);
+  if (error && error != asio::error::would_block && error != asio::error::interrupted) {
+    return handle_disconnect(*connection);
+  }
+  connection->discarded += count;
+  read(connection);
+}
+
 // Sets or clears the deadline for the client's next action. It limits clients that send nothing, stop in the
 // middle of a message, send messages without an end, or do not read their replies.
 void ClientConnections::update_deadline(ClientConnection& connection) {
@@ -349,7 +370,7 @@
 void ClientConnections::close_after_replies(ClientConnection& connection) {
   const ConnectionPtr shared = *connection.list_position;
   connection.state = ClientConnection::State::closing;
-  connection.buffer.consume(connection.buffer.data().size());
+  connection.buffer.clear();
   timers_.cancel(connection.deadline);
   flush(connection);
   if (connection.replies.empty() && !connection.writing) {
@@ -368,7 +389,7 @@
   if (connection.state != ClientConnection::State::lingering) {
     connection.state = ClientConnection::State::lingering;
     ++lingering_;
-    connection.buffer.consume(connection.buffer.data().size());
+    connection.buffer.clear();
     timers_.cancel(connection.deadline);
     connection.deadline = timers_.set(clock_.now() + kLingerTime, [this, shared] {
       shared->deadline.reset();
@@ -385,7 +406,7 @@
   read(shared);
 }
 
-// Gives up a client that does not read its replies, or whose input there is no memory for.
+// Gives up a client that does not read its replies.
 void ClientConnections::abort(ClientConnection& connection) {
   if (connection.replies.open_requests().empty()) {
     return close(connection);
--- a/src/proxy/client_connections.cpp
+++ b/src/proxy/client_connections.cpp
@@ -187,6 +187,26 @@
   return true;
 }
 
+// Frees the read buffer of one client that has stopped in the middle of a message: of the one that has been
+// quiet for the longest time, over kIdleTime. Its connection is closed with an error; nothing that it has
+// sent completely is unanswered. Returns false if there is none. Without this, clients that stop in the
+// middle of long messages could use up the memory of all others.
+bool ClientConnections::free_read_memory() {
+  ClientConnection* quiet = nullptr;
+  for (const ConnectionPtr& connection : connections_) {
+    const bool mid_message = !connection->buffer.data().empty() && is_evictable(*connection);
+    if (mid_message && (!quiet || connection->last_activity < quiet->last_activity)) {
+      quiet = connection.get();
+    }
+  }
+  if (!quiet || clock_.now() - quiet->last_activity <= kIdleTime) {
+    return false;
+  }
+  log_.warn("clients", "client connection closed", {{"reason", "stopped in the middle of a message"}});
+  close_with_error(*quiet, "57P05", "no whole command in time");
+  return true;
+}
+
 // Abandons the open requests of a connection that the client has closed, and closes it.
 void ClientConnections::handle_disconnect(ClientConnection& connection) {
   for (const RequestId request : connection.replies.open_requests()) {
--- a/src/proxy/client_connections.hpp
+++ b/src/proxy/client_connections.hpp
@@ -65,6 +65,7 @@
   [[nodiscard]] std::size_t active_connections() const { return connections_.size() - lingering_; }
   static bool is_evictable(ClientConnection& connection);
   bool free_capacity();
+  bool free_read_memory();
   void check_connections();
   void limit_lingering();
   void stop_accepting();
@@ -75,6 +76,7 @@
   // One connection (client_commands.cpp).
   void read(const ConnectionPtr& connection);
   void read_now(const ConnectionPtr& connection);
+  void discard_now(const ConnectionPtr& connection);
   static bool has_hung_up(ClientConnection& connection);
   void update_deadline(ClientConnection& connection);
   void deadline_passed(ClientConnection& connection);
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -98,7 +98,9 @@
   void send_query(ServerConnection& connection, CallPtr call);
   void write_rest(ServerConnection& connection, std::size_t written);
   void read(const ConnectionPtr& connection);
-  void read_completed(const ConnectionPtr& connection, const asio::error_code& error, std::size_t count);
+  void read_now(const ConnectionPtr& connection);
+  bool free_read_memory(const ServerConnection& reader);
+  void handle_messages(const ConnectionPtr& connection);
   bool handle_message(ServerConnection& connection, const postgres::Message& message);
   bool handle_error(ServerConnection& connection, const postgres::Message& message);
   bool handle_ready_for_query(ServerConnection& connection, const postgres::Message& message);
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -2,6 +2,7 @@
 // before they are used again.
 #include "upstream/server_connection.hpp"
 
+#include <span>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -108,26 +109,70 @@
                     });
 }
 
+// Waits until the socket is readable. Until then the connection holds no memory but for what it has received
+// of a message.
 void ConnectionPool::read(const ConnectionPtr& connection) {
-  const auto space = connection->buffer.prepare(kReadBytes);
+  connection->buffer.release_unused();
+  connection->socket.async_wait(Tcp::socket::wait_read, [this, connection](const asio::error_code& error) {
+    if (connection->state == ServerConnection::State::closed) {
+      return;
+    }
+    if (error) {
+      return handle_disconnect(*connection);
+    }
+    read_now(connection);
+  });
+}
+
+void ConnectionPool::read_now(const ConnectionPtr& connection) {
+  std::span<char> space = connection->buffer.prepare(kReadBytes);
+  while (space.empty() && free_read_memory(*connection)) {
+    space = connection->buffer.prepare(kReadBytes);
+  }
+  if (connection->state == ServerConnection::State::closed) {
+    return;  // closed for a connection that replaces the one that was freed
+  }
   if (space.empty()) {
     log_.warn("upstream", "server connection closed",
               {{"server", connection->server.id.address}, {"reason", "read buffer memory exhausted"}});
     return handle_disconnect(*connection);
   }
-  connection->socket.async_read_some(asio::buffer(space.data(), space.size()),
-                                     [this, connection](const asio::error_code& error, std::size_t count) {
-                                       read_completed(connection, error, count);
-                                     });
+  asio::error_code error;
+  const std::size_t count = connection->socket.read_some(asio::buffer(space.data(), space.size()), error);
+  if (error == asio::error::would_block || error == asio::error::interrupted) {
+    return read(connection);
+  }
+  if (error) {
+    return handle_disconnect(*connection);
+  }
+  connection->buffer.commit(count);
+  connection->last_read = clock_.now();
+  handle_messages(connection);
 }
 
-// Handles all complete messages in the buffer, even if the read ended with an error.
-void ConnectionPool::read_completed(const ConnectionPtr& connection, const asio::error_code& error,
-                                    std::size_t count) {
-  if (connection->state == ServerConnection::State::closed) {
-    return;
+// Frees the read buffer of the connection that has been quiet for the longest time in the middle of a
+// message: longer than a server may take to accept a connection. Its call ends as reset. Returns false if
+// there is none. Without this, servers that hang in the middle of long responses could use up the memory of
+// all others.
+bool ConnectionPool::free_read_memory(const ServerConnection& reader) {
+  ServerConnection* quiet = nullptr;
+  for (const ConnectionPtr& connection : connections_) {
+    const bool mid_message = connection.get() != &reader && !connection->buffer.data().empty();
+    if (mid_message && (!quiet || connection->last_read < quiet->last_read)) {
+      quiet = connection.get();
+    }
   }
-  connection->buffer.commit(count);
+  if (!quiet || clock_.now() - quiet->last_read <= config_.connect_timeout) {
+    return false;
+  }
+  log_.warn("upstream", "server connection closed",
+            {{"server", quiet->server.id.address}, {"reason", "stopped in the middle of a response"}});
+  handle_disconnect(*quiet);
+  return true;
+}
+
+// Handles all complete messages in the buffer.
+void ConnectionPool::handle_messages(const ConnectionPtr& connection) {
   for (;;) {
     const postgres::ReadResult next = postgres::read_from_server(connection->buffer.data());
     if (std::holds_alternative<postgres::Partial>(next)) {
@@ -145,7 +190,9 @@
       return handle_unreadable(*connection);
     }
   }
-  if (error) {
+  // The rest of a message that arrives on an idle connection may never come, and reset() would not use the
+  // connection.
+  if (connection->state == ServerConnection::State::idle && !connection->buffer.data().empty()) {
     return handle_disconnect(*connection);
   }
   read(connection);
--- a/src/upstream/server_connection.hpp
+++ b/src/upstream/server_connection.hpp
@@ -60,6 +60,7 @@
   std::string out;  // the bytes being written
   State state = State::opening;
   Millis opened = 0;                                     // Unix time
+  Millis last_read = 0;                                  // Unix time
   Millis idle_since = 0;                                 // Unix time
   std::list<ServerConnection*>::iterator idle_position;  // valid while it is idle
   bool query_sent = false;                               // the last byte of the call's query has been written
--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -135,6 +135,20 @@
          encode_message('D', "\0\1\0\0\0"s + size + value) + encode_message('C', "SELECT 1\0"s);
 }
 
+// The beginning of a response whose value has 64 KiB.
+std::string partial_row_response(std::size_t bytes) {
+  using namespace std::string_literals;
+  constexpr std::size_t kValueBytes = 65536;
+  return (encode_message('T', "\0\1v\0"s + std::string(18, '\0')) +
+          encode_message('D', "\0\1\0\1\0\0"s + std::string(kValueBytes, 'v')))
+      .substr(0, bytes);
+}
+
+// An INSERT with a value of 64 KiB, the longest of the protocol, in the place of LONG.
+std::string with_long_value(std::string text) {
+  return text.replace(text.find("LONG"), 4, std::string(131072, 'f'));
+}
+
 std::string unescaped(const std::string& text) {  // replaces "\x00" and other hexadecimal escapes
   std::string out;
   for (std::size_t at = 0; at < text.size(); ++at) {
@@ -226,6 +240,13 @@
       int expected_refused = 0;
       line >> count >> verb >> expected_refused;
       open_clients(count, verb, expected_refused);
+    } else if (subject == "clients-stop") {
+      stop_clients_in_mid_message(line);
+    } else if (subject == "servers-stop") {
+      stop_servers_in_mid_response(line);
+    } else if (subject == "any-server-responds") {
+      line >> rest;
+      write_all(connection_with_query(rest).fd, row_response(remainder(line)) + postgres::ready_for_query());
     } else if (subject == "peer") {
       line >> verb;
       run_peer(verb, remainder(line));
@@ -524,6 +545,9 @@
     if (verb == "sends") {
       write_all(clients_[name].fd, postgres::query(substitute_now(rest)));
     }
+    if (verb == "sends-long-value") {
+      write_all(clients_[name].fd, postgres::query(with_long_value(rest)));
+    }
     if (verb == "sends-bytes") {
       write_all(clients_[name].fd, unescaped(rest));
     }
@@ -730,6 +754,68 @@
     return age >= 0 && age < 60000 ? text.replace(digits, digits_end - digits, "(now)") : text;
   }
 
+  // "clients-stop 20 100000 TEXT": that many clients send a first command, then as many bytes of a statement
+  // with a long value, and stay. Waits until the proxy has rejected one of them: it has read the others.
+  void stop_clients_in_mid_message(std::istringstream& line) {
+    int count = 0;
+    std::size_t bytes = 0;
+    line >> count >> bytes;
+    const std::string statement = postgres::query(with_long_value(remainder(line)));
+    std::vector<Connection*> stopped;
+    for (int i = 0; i < count; ++i) {
+      Connection& connection = clients_[fmt::format("stopped-{}", i)];
+      connection.fd = connect_to(proxy_address_);
+      write_all(connection.fd, postgres::startup("svc", "main") + postgres::query("SET a"));
+      stopped.push_back(&connection);
+    }
+    const auto received = [&](const char* text) {
+      return std::ranges::count_if(stopped, [text](const Connection* connection) {
+        return connection->received.find(text) != std::string::npos;
+      });
+    };
+    wait_for("the responses to the first commands", [&] { return received("SET") == count; });
+    for (const Connection* connection : stopped) {
+      write_all(connection->fd, statement.substr(0, bytes));
+    }
+    wait_for("a rejected statement", [&] { return received("53300") > 0; });
+  }
+  // "servers-stop 32 62000": waits for that many attempts, and sends as many bytes of each response.
+  void stop_servers_in_mid_response(std::istringstream& line) {
+    std::size_t count = 0;
+    std::size_t bytes = 0;
+    line >> count >> bytes;
+    std::vector<Connection*> pending;
+    wait_for("all attempts", [&] {
+      pending.clear();
+      for (auto& [name, server] : servers_) {
+        for (Connection& connection : server.connections) {
+          if (!connection.closed && !connection.pending_query.empty()) {
+            pending.push_back(&connection);
+          }
+        }
+      }
+      return pending.size() >= count;
+    });
+    for (const Connection* connection : pending) {
+      write_all(connection->fd, partial_row_response(bytes));
+    }
+  }
+  // Waits for the attempt with this id, at whichever server.
+  Connection& connection_with_query(const std::string& id) {
+    Connection* found = nullptr;
+    wait_for("an attempt", [&] {
+      for (auto& [name, server] : servers_) {
+        for (Connection& connection : server.connections) {
+          if (!connection.closed && connection.pending_query.find("id=" + id + ",") != std::string::npos) {
+            found = &connection;
+          }
+        }
+      }
+      return found != nullptr;
+    });
+    return *found;
+  }
+
   // Opens `count` clients at once that send only the startup message, or also a SET command ("idle") or a
   // request ("request"). If `expected_refused` is above zero, waits until that many are refused (closed, or
   // answered with 53300) and prints how many were; if it is zero, waits until all connections are closed.
