A token is the commit that the answer states, not the older report beside it

Cause: an answer to a write states its commit (as_of) and brings a load report that is older (x0 of vitals). Both went into one field, and the parameter that came later won; the session's token was too early by the report's age. The role (rank, x1) had the same fault: a former primary could get reads that must be current.

Change: statement and report reach the module as two samples; tokens come from the statement alone, or from the time of the acknowledgement where it states no commit; the stated role outweighs the report's; the higher position is the applied one.

--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -90,10 +90,13 @@
   bool operator==(const ServerEntry&) const = default;
 };
 
-// The state that a server reports about itself in an answer to a request or to a probe.
+// The state that a server reports about itself: in an answer to a request, as of that answer, or in a load
+// report, which the server made some time before it sends it.
 struct ReplicaSample {
   Role role = Role::unknown;
-  Millis position = -1;     // time up to which it has applied all commits; negative: not reported
+  // Time up to which it has applied all commits; negative: not reported. In the answer to a write, the time
+  // of its commit.
+  Millis position = -1;
   double utilization = -1;  // fraction of its processors in use; negative: not reported
 };
 
--- a/src/faulttest/virtual_routers.cpp
+++ b/src/faulttest/virtual_routers.cpp
@@ -104,7 +104,7 @@
       const bool primary = probe->server.address.ends_with("m0");
       ProbeCompleted completed{probe->server, true, options_.probe_latency, {}};
       const Millis at = now + options_.probe_latency * (1 + random_fraction());
-      completed.sample = {primary ? Role::primary : Role::replica,
+      completed.report = {primary ? Role::primary : Role::replica,
                           primary ? at : at - options_.replication_lag, 0.3};
       schedule(at, index, std::move(completed));
     } else if (const auto* timer = std::get_if<SetTimer>(&decision)) {
--- a/src/routing/probing.cpp
+++ b/src/routing/probing.cpp
@@ -55,8 +55,9 @@
   server.connection_answered_at = now;
   health_.record_answer(server);
   slow_start_.update_capacity(server);
-  record_sample(server, event.sample, event.sample.position, now);
-  slow_start_.record_utilization(server, event.sample);
+  const ReplicaSample newest = newest_sample(event.sample, event.report);
+  record_sample(server, newest, role_claim_date(event.sample, event.report, now), now);
+  slow_start_.record_utilization(server, newest);
 }
 
 // Results of probes that were sent for another reason than the period are of no use to the other instances. A
@@ -66,7 +67,7 @@
   const Millis last = group.leads_probing ? server.gossiped_at : server.sample_seen_at;
   const bool due = context_.now - last > kProbePeriod * (group.leads_probing ? kLeaderGossipPeriods : 1);
   const bool first_failure = !std::exchange(server.probe_unanswered, !event.answered);
-  const bool news = event.answered ? event.sample.position >= 0 : first_failure;
+  const bool news = event.answered ? newest_sample(event.sample, event.report).position >= 0 : first_failure;
   if (!context_.options.may_gossip || !due || !news) {
     return;
   }
--- a/src/routing/replica_state.cpp
+++ b/src/routing/replica_state.cpp
@@ -14,6 +14,21 @@
 
 }  // namespace
 
+ReplicaSample newest_sample(const ReplicaSample& stated, const ReplicaSample& report) {
+  return {.role = stated.role != Role::unknown ? stated.role : report.role,
+          .position = std::max(stated.position, report.position),
+          .utilization = stated.utilization >= 0 ? stated.utilization : report.utilization};
+}
+
+Millis role_claim_date(const ReplicaSample& stated, const ReplicaSample& report, Millis now) {
+  if (stated.role == Role::replica) {
+    return now;
+  }
+  const Millis position =
+      stated.role == Role::primary ? std::max(stated.position, report.position) : report.position;
+  return position >= 0 ? position : now;
+}
+
 void record_sample(Server& server, const ReplicaSample& sample, Millis claimed_at, Millis seen_at,
                    bool after_commit) {
   server.sample_seen_at = seen_at;
--- a/src/routing/replica_state.hpp
+++ b/src/routing/replica_state.hpp
@@ -98,6 +98,14 @@
   Millis requests_counted_at = kNever;
 };
 
+// Returns what an answer shows, with the load report that it carries: its own statement of the role, which is
+// newer than the report's, and the higher position, since positions never decrease.
+[[nodiscard]] ReplicaSample newest_sample(const ReplicaSample& stated, const ReplicaSample& report);
+
+// Returns the date of the role in newest_sample(). A primary's position is the present time, so the position
+// with which it claims to be the primary dates the claim. A report's claim is as old as the report.
+[[nodiscard]] Millis role_claim_date(const ReplicaSample& stated, const ReplicaSample& report, Millis now);
+
 // Records a sample taken from an answer, from a probe or from gossip. A claim to be the primary or a replica
 // is dated `claimed_at`. Set `after_commit` if the position is that of a commit, which the server rounds up.
 void record_sample(Server& server, const ReplicaSample& sample, Millis claimed_at, Millis seen_at,
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -167,12 +167,11 @@
   if (is_any_of(event.outcome, {acknowledged, failed, rejected_overloaded, rejected_not_executed})) {
     health_.record_answer(server);
     slow_start_.update_capacity(server);
-    // A primary's position is the present time, so the position it reports dates its claim to be the primary.
-    const bool dated = event.sample.role == Role::primary && event.sample.position >= 0;
+    const ReplicaSample newest = newest_sample(event.sample, event.report);
     const bool is_write = context_.class_of(attempt.request_class).consistency == Consistency::write;
-    record_sample(server, event.sample, dated ? event.sample.position : now, now,
+    record_sample(server, newest, role_claim_date(event.sample, event.report, now), now,
                   event.outcome == acknowledged && is_write);
-    slow_start_.record_utilization(server, event.sample);
+    slow_start_.record_utilization(server, newest);
   }
   const bool connection_kept = is_any_of(event.outcome, {acknowledged, failed, rejected_not_executed});
   server.connection_answered_at = connection_kept ? now : kNever;
@@ -216,7 +215,7 @@
   }
   const Millis seen_at = server.samples.empty() ? context_.now : server.samples.back().seen_at;
   Millis position = server.applied_position;
-  if (event.sample.position < 0) {
+  if (newest_sample(event.sample, event.report).position < 0) {
     position = seen_at - allowed_lag(request_class, attempt.session_token, attempt.sent_at) - 1;
   }
   server.samples.assign(1, {position, seen_at});
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -40,7 +40,9 @@
   bool is_retry = false;  // the client states that this is not its first try
 };
 
-// An attempt has ended. `request_completed` is set if its request no longer waits for an answer.
+// An attempt has ended. `request_completed` is set if its request no longer waits for an answer. An answer
+// may tell role and position twice, in its own statement and in a load report that is older: `sample` is the
+// statement, `report` the load report.
 struct AttemptCompleted {
   RequestId request;
   AttemptNumber attempt;
@@ -49,14 +51,17 @@
   Millis latency = 0;
   bool request_completed = false;
   ReplicaSample sample;
+  ReplicaSample report = {};
 };
 
-// A probe has been answered or has failed.
+// A probe has been answered or has failed. `report` is the load report that it has asked for, `sample` what
+// the answer states besides.
 struct ProbeCompleted {
   ServerId server;
   bool answered = false;
   Millis latency = 0;
-  ReplicaSample sample;
+  ReplicaSample report;
+  ReplicaSample sample = {};
 };
 
 // The client has disconnected and no longer waits for the answer.
--- a/src/routing/session_tokens.hpp
+++ b/src/routing/session_tokens.hpp
@@ -16,7 +16,9 @@
  public:
   explicit SessionTokens(const RouterContext& context) : context_(context) {}
 
-  // Records that an attempt of the session was acknowledged. Only writes with a known position count.
+  // Records that an attempt of the session was acknowledged. Only writes count. `position` is what the answer
+  // itself states, the commit of the write; if it is negative, the time of the acknowledgement takes its
+  // place.
   void record_acknowledged(const std::string& session, const RequestClass& request_class, Millis position);
 
   // Returns the time up to which a replica must have applied commits for the session; kNever if any replica
--- a/src/simulator/wire.cpp
+++ b/src/simulator/wire.cpp
@@ -255,7 +255,7 @@
   completed.outcome = parse_outcome(line, 5);
   completed.latency = millis_at(line, 6);
   completed.request_completed = number_or_default(element_or_null(line, 7), 0) > 0;
-  completed.sample = parse_report(element_or_null(line, 9), instance.zero_ms);
+  completed.report = parse_report(element_or_null(line, 9), instance.zero_ms);
   // A note, if there is one, is 4 x position in ms after position zero + role: 1 primary, 2 replica.
   const auto note = static_cast<long long>(number_or_default(element_or_null(line, 8), 0));
   if (note > 0) {
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -229,12 +229,13 @@
   const Millis duration = clock_.now() - call->started;
   if (!call->attempt) {
     const bool answered = outcome == AttemptOutcome::acknowledged || call->response.unreadable();
-    return probe_done_({call->server->id, answered, duration, call->response.sample()});
+    return probe_done_(
+        {call->server->id, answered, duration, call->response.report(), call->response.sample()});
   }
   attempts_.erase(*call->attempt);
   AttemptCompleted completed{
-      call->attempt->first,   call->attempt->second, call->server->id, outcome, duration, false,
-      call->response.sample()};
+      call->attempt->first,    call->attempt->second,  call->server->id, outcome, duration, false,
+      call->response.sample(), call->response.report()};
   attempt_done_(std::move(completed), call->response.take_row());
 }
 
--- a/src/upstream/server_response.cpp
+++ b/src/upstream/server_response.cpp
@@ -15,15 +15,16 @@
   return position >= 0 && position < now + kPositionRounding;
 }
 
-// Parses a load report such as "x0=1767225600.123,x1=1,cpu=0.61" into the sample. The items are:
+// Parses a load report such as "x0=1767225600.123,x1=1,cpu=0.61". Of several reports, keeps the latest. The
+// items are:
 // - x0: the replication position, a Unix time in seconds
 // - x1: the role, 1 on a primary and 0 on a replica
 // - cpu or util: the CPU utilization as a fraction; named cpu in the settings and util in the example of the
 //   protocol
 // Items with other names are ignored. If the value of any item is not a number, or if x0 or x1 has an
 // impossible value, the whole report is ignored.
-void read_load_report(std::string_view text, Millis now, ReplicaSample& sample) {
-  ReplicaSample report = sample;
+void read_load_report(std::string_view text, Millis now, ReplicaSample& latest) {
+  ReplicaSample report;
   while (!text.empty()) {
     const std::string_view item = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), item.size() + 1));
@@ -48,7 +49,9 @@
       report.utilization = *number;
     }
   }
-  sample = report;
+  if (report.position >= latest.position) {
+    latest = report;
+  }
 }
 
 Role role_of(std::string_view rank) {
@@ -79,11 +82,11 @@
   if (name == "as_of") {
     const auto position = postgres::parse_number(value);
     if (position && is_valid_position(*position, now)) {
-      sample_.position = *position;
+      sample_.position = std::max(sample_.position, *position);
     }
   }
   if (name == "vitals") {
-    read_load_report(value, now, sample_);
+    read_load_report(value, now, report_);
   }
 }
 
@@ -103,7 +106,7 @@
   }
   has_row_ = true;
   if (is_probe) {
-    read_load_report(*value, now, sample_);
+    read_load_report(*value, now, report_);
   }
   row_ += message.bytes;
   return true;
@@ -128,6 +131,7 @@
 
 void ServerResponse::mark_unreadable() {
   sample_ = {};
+  report_ = {};
   unreadable_ = true;
 }
 
--- a/src/upstream/server_response.hpp
+++ b/src/upstream/server_response.hpp
@@ -16,8 +16,8 @@
 // message is valid and allowed at this point; if it is not, the response is unchanged.
 class ServerResponse {
  public:
-  // Takes role, position or load from a ParameterStatus message. A value that can't be parsed is ignored.
-  // `now` is in Unix milliseconds.
+  // Takes role, position or load report from a ParameterStatus message. A value that can't be parsed is
+  // ignored. The parameters may come in any order. `now` is in Unix milliseconds.
   void read_parameter(const postgres::Message& message, Millis now);
   bool read_row_description(const postgres::Message& message);
   // The row of a probe holds a load report.
@@ -25,7 +25,7 @@
   bool read_command_complete(const postgres::Message& message);
   bool read_error(const std::string& code);
 
-  // Discards the load report, and records that the rest of the response could not be read.
+  // Discards the server's samples, and records that the rest of the response could not be read.
   void mark_unreadable();
 
   // Returns whether CommandComplete or an error has been received.
@@ -33,13 +33,16 @@
   [[nodiscard]] bool unreadable() const { return unreadable_; }
   // Returns the outcome of the attempt or probe; `failed` if the response is incomplete.
   [[nodiscard]] AttemptOutcome outcome() const;
-  // Returns the role, position and load that the server reported.
+  // Returns the role and position that the answer itself states.
   [[nodiscard]] const ReplicaSample& sample() const { return sample_; }
+  // Returns the role, position and load of the load report, which is older than the answer.
+  [[nodiscard]] const ReplicaSample& report() const { return report_; }
   // Returns the server's messages, unchanged, from RowDescription up to CommandComplete.
   [[nodiscard]] std::string take_row() { return std::move(row_); }
 
  private:
   ReplicaSample sample_;
+  ReplicaSample report_;
   std::string row_;
   std::optional<std::string> error_code_;  // SQLSTATE
   bool described_ = false;                 // RowDescription has been received
--- a/tests/routing_units/replica_state.cpp
+++ b/tests/routing_units/replica_state.cpp
@@ -27,6 +27,20 @@
   expect("the position of a commit proves one that is 1 ms earlier", server.applied_position, kNow + 199);
 }
 
+void stated_and_reported() {
+  const ReplicaSample report{Role::primary, kNow - 200, 0.4};
+  const ReplicaSample newest = newest_sample({Role::replica, kNow - 20, -1}, report);
+  expect("the role that an answer states outweighs its load report's", newest.role, Role::replica);
+  expect("the later of both positions is known to be applied", newest.position, kNow - 20);
+  expect("the utilization is the report's", newest.utilization, 0.4);
+  expect("without a statement the report counts", newest_sample({}, report).role, Role::primary);
+  expect("an answer that states to be a replica is dated now", role_claim_date({Role::replica}, report, kNow),
+         kNow);
+  expect("a stated claim to be the primary is dated by the latest position",
+         role_claim_date({Role::primary, kNow - 20, -1}, report, kNow), kNow - 20);
+  expect("a report's claim is as old as the report", role_claim_date({}, report, kNow), kNow - 200);
+}
+
 void primary() {
   Server first;
   Server second;
@@ -67,6 +81,7 @@
 
 void replica_state() {
   samples();
+  stated_and_reported();
   primary();
   order();
 }
