An attempt is tested again right before it is sent

Cause: an attempt waits in the pool for a connection (a new one, or the check of an idle one); when it was sent, only its time and the server's listing were tested. The age of the replica's data and who is primary were as old as the wait.

Evidence: proxy_late_connection_stale_replica: id 583 is decided while the replica is within its bound, and sent there on a connection that comes up a second later.

Change: Router::may_send, asked by the pool before the first byte; the same test as at the decision, by what is known by then. What may not be sent ends as not_sent and is decided anew; it no longer counts as an attempt (greatest number, retry bucket, rejection at half time). The debug log names withdrawn attempts.

--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -45,7 +45,8 @@
       snapshot_builder_(options_.request_classes, options_.leases, options_.startup_timeout),
       subscriptions_(options_.streams, options_.name, epoch_),
       server_connections_(
-          io_, timers_, clock_, log_, options_.config, [](AttemptCompleted, std::string) {},
+          io_, timers_, clock_, log_, options_.config, [](RequestId, AttemptNumber) { return false; },
+          [](AttemptCompleted, std::string) {},
           [this](ProbeCompleted result) {
             router_->enqueue(std::move(result));
             work_pending_ = router_pending_ = true;
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -42,6 +42,7 @@
       text_budget_(config_.memory_bytes / kMemoryDivisor),
       connection_pool_(
           io_, timers_, clock_, log_, config_,
+          [this](RequestId request, AttemptNumber attempt) { return may_send(request, attempt); },
           [this](AttemptCompleted completed, std::string row) {
             handle_attempt_completed(std::move(completed), std::move(row));
           },
@@ -311,6 +312,18 @@
   }
 }
 
+bool ProxyServer::may_send(RequestId request, AttemptNumber attempt) {
+  const bool allowed = router_->may_send(request, attempt, clock_.now());
+  const auto found = requests_.find(request);
+  if (!allowed && found != requests_.end() && log_.enabled(logging::LogLevel::debug)) {
+    log_.debug("requests", "attempt withdrawn",
+               {{"request_id", found->second.id},
+                {"attempt", attempt.number},
+                {"elapsed_ms", clock_.now() - found->second.arrived}});
+  }
+  return allowed;
+}
+
 void ProxyServer::handle_attempt_completed(AttemptCompleted completed, std::string row) {
   if (completed.outcome == AttemptOutcome::acknowledged) {
     complete_request(completed.request, std::move(row), "served");
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -57,6 +57,7 @@
   [[nodiscard]] std::optional<postgres::Fault> reject_reason(std::string_view text,
                                                              const postgres::Statement& statement);
   void handle_endpoint_list(net::EndpointList list);
+  bool may_send(RequestId request, AttemptNumber attempt);
   void handle_attempt_completed(AttemptCompleted completed, std::string row);
   void handle_peer_message(int peer, std::string text);
   // Ends the request and sends its answer, unless that is empty. The reason appears only in the log.
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -22,6 +22,11 @@
   ++request.in_flight;
 }
 
+const Attempt* Attempts::find(RequestId id, AttemptNumber number) const {
+  const auto found = attempts_.find({id, number});
+  return found == attempts_.end() ? nullptr : &found->second;
+}
+
 std::optional<Attempt> Attempts::take(RequestId id, AttemptNumber number) {
   const auto found = attempts_.find({id, number});
   if (found == attempts_.end()) {
--- a/src/routing/attempts.hpp
+++ b/src/routing/attempts.hpp
@@ -40,6 +40,9 @@
   // in_flight.
   void start(RequestId id, Request& request, std::vector<Decision>& decisions);
 
+  // Returns an attempt in flight, or null if it is unknown. Valid until the next call of another function.
+  [[nodiscard]] const Attempt* find(RequestId id, AttemptNumber number) const;
+
   // Removes an attempt that has ended and returns it, or nothing if it is unknown.
   [[nodiscard]] std::optional<Attempt> take(RequestId id, AttemptNumber number);
 
--- a/src/routing/request_decisions.cpp
+++ b/src/routing/request_decisions.cpp
@@ -29,6 +29,11 @@
 
 }  // namespace
 
+bool fleet_permits(const RequestClass& request_class, const RouterContext& context) {
+  const auto& view = context.fleet_view;
+  return !view || (request_class.primary_only() ? view->primary_only_allowed : view->reads_allowed);
+}
+
 void RequestDecisions::decide(std::map<RequestId, Request>& requests) {
   std::vector<std::pair<double, RequestId>> waiting;
   for (auto& [id, request] : requests) {
@@ -61,7 +66,7 @@
 void RequestDecisions::decide(Request& request, double long_running_share) {
   const RequestClass& request_class = context_.class_of(request.request_class);
   // Attempts that were not executed cost the servers nothing.
-  const bool is_retry = request.attempts > request.not_executed;
+  const bool is_retry = request.sent_attempts() > request.not_executed;
   if (!may_attempt(request, request_class, is_retry) || !fits_deadline(request, request_class)) {
     request.next_step = is_safe_to_reject(request, request_class) ? NextStep::reject : NextStep::fail;
     return;
@@ -71,7 +76,7 @@
   if (!target) {
     // Rejects the request rather than holding it until it is late, so that its client can retry elsewhere.
     const Millis next_check = context_.now + kRecheckTicks * context_.options.tick;
-    if (request.attempts == 0 && next_check > request.half_deadline) {
+    if (request.sent_attempts() == 0 && next_check > request.half_deadline) {
       request.next_step = NextStep::reject;
     }
     return;
@@ -85,11 +90,11 @@
 
 bool RequestDecisions::may_attempt(const Request& request, const RequestClass& request_class,
                                    bool is_retry) const {
-  const auto& view = context_.fleet_view;
-  if (view && !(request_class.primary_only() ? view->primary_only_allowed : view->reads_allowed)) {
+  if (!fleet_permits(request_class, context_)) {
     return false;
   }
-  if (request.attempts >= context_.options.max_attempts || (is_retry && !retry_budget_.permits_retry())) {
+  if (request.sent_attempts() >= context_.options.max_attempts ||
+      (is_retry && !retry_budget_.permits_retry())) {
     return false;
   }
   if (request.possibly_executed_at == kNever || request_class.retry_safety == RetrySafety::idempotent) {
--- a/src/routing/request_decisions.hpp
+++ b/src/routing/request_decisions.hpp
@@ -16,6 +16,9 @@
 
 namespace reedspindle::routing {
 
+// Returns whether the fleet's view, if there is one, lets this instance send requests of a class.
+[[nodiscard]] bool fleet_permits(const RequestClass& request_class, const RouterContext& context);
+
 // Decides the next step of requests, within the limits on attempts, retries and deadlines.
 class RequestDecisions {
  public:
--- a/src/routing/request_state.hpp
+++ b/src/routing/request_state.hpp
@@ -29,8 +29,12 @@
   int attempts = 0;                      // started so far
   int in_flight = 0;
   int not_executed = 0;  // attempts that a server refused without any effect
+  int not_sent = 0;      // attempts of which no byte was written
   NextStep next_step = NextStep::wait;
   Server* target = nullptr;  // server of the next attempt; owned by the registry
+
+  // Returns the number of attempts that were sent to a server, or are about to be.
+  [[nodiscard]] int sent_attempts() const { return attempts - not_sent; }
 };
 
 // Returns the time, in milliseconds, for which servers still recognise a repeat of a request that may have
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -50,6 +50,7 @@
   [[nodiscard]] std::vector<ServerView> view() const override {
     return describe_servers(context_, registry_, health_, slow_start_);
   }
+  [[nodiscard]] bool may_send(RequestId id, AttemptNumber number, Millis now) const override;
 
  private:
   void handle(const EndpointListReceived& event) { handle_endpoint_list(event); }
@@ -116,6 +117,17 @@
   return take_decisions();
 }
 
+bool RouterImpl::may_send(RequestId id, AttemptNumber number, Millis now) const {
+  const auto request = requests_.find(id);
+  const Attempt* const attempt = attempts_.find(id, number);
+  if (request == requests_.end() || !attempt) {
+    return false;
+  }
+  const RequestClass& request_class = context_.class_of(attempt->request_class);
+  return fleet_permits(request_class, context_) &&
+         selection_.may_serve(*attempt->server, request->second, request_class, now);
+}
+
 void RouterImpl::handle_endpoint_list(const EndpointListReceived& event) {
   if (event.kind == EndpointListKind::failed) {
     endpoint_polling_.handle_failure();
@@ -233,6 +245,9 @@
     record_refusal(attempt, event);
     ++request.not_executed;
   }
+  if (event.outcome == not_sent) {
+    ++request.not_sent;
+  }
   const bool may_have_run =
       !is_any_of(event.outcome, {rejected_not_executed, rejected_overloaded, connect_failed, not_sent});
   if (may_have_run && request.possibly_executed_at == kNever) {
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -185,6 +185,10 @@
  public:
   // Returns the state of all servers as of the last process() call, ordered by server id. Changes nothing.
   [[nodiscard]] virtual std::vector<ServerView> view() const = 0;
+  // Returns whether an attempt that StartAttempt has started may still be sent at `now`. To be asked right
+  // before its first byte is written, since it may have waited for a connection: what the decision rested on
+  // may not hold any more. If it may not, the attempt has to end as `not_sent`. Changes nothing.
+  [[nodiscard]] virtual bool may_send(RequestId request, AttemptNumber attempt, Millis now) const = 0;
 };
 
 // Creates a router. `seed` initialises its random numbers; equal settings, seeds, events and times give equal
--- a/src/routing/server_selection.cpp
+++ b/src/routing/server_selection.cpp
@@ -27,8 +27,25 @@
 // between requests.
 constexpr double kRequestsPerConnection = 3;
 
+// For a session read, a replica over the lag threshold that has applied the session's last write is better
+// than a busy primary.
+bool is_acceptable(const Server& server, const Request& request, const RequestClass& request_class) {
+  return request_class.consistency == Consistency::any ||
+         (request_class.consistency == Consistency::session &&
+          server.applied_position >= request.session_token);
+}
+
 }  // namespace
 
+bool ServerSelection::may_serve(const Server& server, const Request& request,
+                                const RequestClass& request_class, Millis now) const {
+  if (primary_of(*server.group) == &server) {
+    return true;
+  }
+  return !request_class.primary_only() && (is_acceptable(server, request, request_class) ||
+                                           is_proven_fresh(server, request, request_class, now));
+}
+
 Server* ServerSelection::select(const Request& request, const RequestClass& request_class,
                                 double long_running_share) {
   Group& group = registry_.mark_changed(request.group);
@@ -79,14 +96,8 @@
     if (!health_.is_available(*server) || !limits_.has_room(*server, request_class, request.admission_draw)) {
       continue;
     }
-    const bool fresh = is_fresh(*server, request_class, request.session_token, context_.now) ||
-                       probably_fresh(*server, request, request_class);
-    // For a session read, a replica over the lag threshold that has applied the session's last write is
-    // better than a busy primary.
-    const bool acceptable =
-        request_class.consistency == Consistency::any || (request_class.consistency == Consistency::session &&
-                                                          server->applied_position >= request.session_token);
-    if (!fresh && !acceptable) {
+    const bool fresh = is_proven_fresh(*server, request, request_class, context_.now);
+    if (!fresh && !is_acceptable(*server, request, request_class)) {
       continue;
     }
     const Rank rank{tier_of(*server, request_class, fresh, reserved),
@@ -115,14 +126,20 @@
   return tier;
 }
 
+bool ServerSelection::is_proven_fresh(const Server& server, const Request& request,
+                                      const RequestClass& request_class, Millis now) const {
+  return is_fresh(server, request_class, request.session_token, now) ||
+         probably_fresh(server, request, request_class, now);
+}
+
 // Where servers check reads themselves, a replica is tried if it would be fresh with the smallest lag among
 // its latest samples, whatever their age: a refusal by the server saves a probe.
 bool ServerSelection::probably_fresh(const Server& server, const Request& request,
-                                     const RequestClass& request_class) const {
+                                     const RequestClass& request_class, Millis now) const {
   if (!context_.options.servers_check_staleness || request.not_executed > 1) {
     return false;
   }
-  return smallest_sampled_lag(server) <= allowed_lag(request_class, request.session_token, context_.now);
+  return smallest_sampled_lag(server) <= allowed_lag(request_class, request.session_token, now);
 }
 
 bool ServerSelection::is_connected(const Server& server) const {
--- a/src/routing/server_selection.hpp
+++ b/src/routing/server_selection.hpp
@@ -24,6 +24,11 @@
   // `long_running_share` is the share of long-running requests in all recent work.
   Server* select(const Request& request, const RequestClass& request_class, double long_running_share);
 
+  // Returns whether the data of a server suits a request at `now`: the server is the primary, or a replica
+  // that is proven to be fresh enough.
+  [[nodiscard]] bool may_serve(const Server& server, const Request& request,
+                               const RequestClass& request_class, Millis now) const;
+
  private:
   // The preference of a replica, the smallest first: its tier, whether a connection would have to be opened,
   // and when it was last selected.
@@ -35,8 +40,10 @@
 
   Candidate best_replica(const Group& group, const Server* primary, const Request& request,
                          const RequestClass& request_class, double long_running_share) const;
+  [[nodiscard]] bool is_proven_fresh(const Server& server, const Request& request,
+                                     const RequestClass& request_class, Millis now) const;
   [[nodiscard]] bool probably_fresh(const Server& server, const Request& request,
-                                    const RequestClass& request_class) const;
+                                    const RequestClass& request_class, Millis now) const;
   [[nodiscard]] int tier_of(const Server& server, const RequestClass& request_class, bool fresh,
                             bool reserved) const;
   [[nodiscard]] bool is_connected(const Server& server) const;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -19,13 +19,14 @@
 }  // namespace
 
 ConnectionPool::ConnectionPool(asio::io_context& io, net::Timers& timers, const net::Clock& clock,
-                               logging::Log& log, const config::InstanceConfig& config,
+                               logging::Log& log, const config::InstanceConfig& config, MaySend may_send,
                                AttemptDone attempt_done, ProbeDone probe_done)
     : io_(io),
       timers_(timers),
       clock_(clock),
       log_(log),
       config_(config),
+      may_send_(std::move(may_send)),
       attempt_done_(std::move(attempt_done)),
       probe_done_(std::move(probe_done)),
       budget_(config.memory_bytes / kMemoryDivisor) {
@@ -195,14 +196,23 @@
   complete(take_queued(call), AttemptOutcome::not_sent);
 }
 
-// Ends queued calls whose start-by time has passed. Their timers may not have run yet: after a slow connect,
-// or after the process was suspended, the event loop may handle connections before timers.
-void ConnectionPool::drop_overdue(ServerPool& server) {
-  while (!server.queue.empty() && server.queue.front()->start_by < clock_.now()) {
+// Ends the queued calls, up to the first that may be sent, that may not be sent any more: they have waited
+// for a connection since they were decided.
+void ConnectionPool::drop_unsendable(ServerPool& server) {
+  while (!server.queue.empty() && !is_sendable(*server.queue.front())) {
     complete(take_first_queued(server), AttemptOutcome::not_sent);
   }
 }
 
+// The start-by time is tested here because the call's timer may not have run yet: after a slow connect, or
+// after the process was suspended, the event loop may handle connections before timers.
+bool ConnectionPool::is_sendable(const PendingCall& call) const {
+  if (call.start_by < clock_.now()) {
+    return false;
+  }
+  return !call.attempt || may_send_(call.attempt->first, call.attempt->second);
+}
+
 ConnectionPool::CallPtr ConnectionPool::take_first_queued(ServerPool& server) {
   CallPtr first = std::move(server.queue.front());
   server.queue.pop_front();
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -31,12 +31,15 @@
   // Reports how an attempt ended. If it was acknowledged, `row` holds the server's messages from
   // RowDescription up to CommandComplete.
   using AttemptDone = std::function<void(AttemptCompleted, std::string row)>;
+  // Returns whether an attempt may still be sent. Asked right before its first byte is written.
+  using MaySend = std::function<bool(RequestId, AttemptNumber)>;
   // Reports how a probe ended.
   using ProbeDone = std::function<void(ProbeCompleted)>;
 
   // All referenced objects have to outlive the pool.
   ConnectionPool(asio::io_context& io, net::Timers& timers, const net::Clock& clock, logging::Log& log,
-                 const config::InstanceConfig& config, AttemptDone attempt_done, ProbeDone probe_done);
+                 const config::InstanceConfig& config, MaySend may_send, AttemptDone attempt_done,
+                 ProbeDone probe_done);
   ~ConnectionPool();
 
   // Adds and updates servers. Closes idle connections that can't be used any more, and ends the queued calls
@@ -78,7 +81,8 @@
   void dispatch(ServerPool& server);
   void record_need(const ServerPool& server);
   void call_timed_out(PendingCall& call);
-  void drop_overdue(ServerPool& server);
+  void drop_unsendable(ServerPool& server);
+  [[nodiscard]] bool is_sendable(const PendingCall& call) const;
   static CallPtr take_first_queued(ServerPool& server);
   static CallPtr take_queued(PendingCall& call);
   void complete(CallPtr call);
@@ -117,6 +121,7 @@
   const net::Clock& clock_;
   logging::Log& log_;
   const config::InstanceConfig& config_;
+  const MaySend may_send_;
   const AttemptDone attempt_done_;
   const ProbeDone probe_done_;
   net::MemoryBudget budget_;  // of the read buffers of all connections
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -300,7 +300,7 @@
   ServerPool& server = connection.server;
   --server.becoming_ready;
   timers_.cancel(connection.timer);
-  drop_overdue(server);
+  drop_unsendable(server);
   if (server.queue.empty() || is_stale(connection)) {
     return make_idle(connection);
   }
--- a/tests/routing.cpp
+++ b/tests/routing.cpp
@@ -101,6 +101,17 @@
   throw std::runtime_error("unknown attempt outcome " + word);
 }
 
+// Prints whether an attempt may be sent, for the line "may-send 1/0 at 10100".
+void print_may_send(const Router& router, std::istream& line) {
+  RequestId request;
+  AttemptNumber attempt;
+  char slash;
+  std::string text;
+  Millis at = 0;
+  line >> request.number >> slash >> attempt.number >> text >> at;
+  std::cout << (router.may_send(request, attempt, at) ? "  yes\n" : "  no\n");
+}
+
 // Reads an event from the rest of its line. One example of each kind:
 //   endpoints complete a:ready b:draining:9000 (address, state, start time)
 //   request 1 class 2 remaining 400 token-age 50
@@ -234,6 +245,10 @@
       print_views(router->view());
       continue;
     }
+    if (word == "may-send") {
+      print_may_send(*router, line);
+      continue;
+    }
     if (!router) {
       router = reedspindle::make_router(values, 7);
     }
