--- a/src/faulttest/environment.cpp
+++ b/src/faulttest/environment.cpp
@@ -15,6 +15,8 @@
 
 // Roles of local addresses.
 constexpr int kRelayRole = 96, kServerRole = 128;
+// After a reload that moves discovery, its lists count as told only after this time.
+constexpr Millis kMoveGrace = 4000;
 constexpr std::size_t kMaxTrackedConnections = 1000;  // connections to discovery with responses in transit
 
 std::vector<Endpoint> server_addresses(int count, const TestEnvironment::AddressAllocator& allocate_address) {
@@ -101,6 +103,8 @@
       }()),
       clients_(io, timers, clock, streams_, checker_, client_addresses_, plan.groups, plan.clients,
                plan.seed),
+      agents_(static_cast<std::size_t>(plan.fronts)),
+      timers_(timers),
       sends_by_server_(static_cast<std::size_t>(plan.stores)) {
   for (int server = 0; server < plan.stores; ++server) {
     StoreState& state = stores_.state(server);
@@ -127,6 +131,11 @@
     streams_.open(client_addresses_[static_cast<std::size_t>(instance)],
                   listen_addresses[static_cast<std::size_t>(instance)]);
   }
+  for (int instance = 0; instance < plan.fronts; ++instance) {
+    second_discovery_addresses_.push_back(
+        allocate_address(kRelayRole, plan.fronts * relays_per_instance() + instance));
+    streams_.open(second_discovery_addresses_.back(), discoveries_[static_cast<std::size_t>(instance)]->at());
+  }
   stores_.set_callbacks(
       [this](const RequestExecuted& execution) { record_execution(execution); },
       [this](int server, const std::string& op, const Endpoint& from) {
@@ -159,7 +168,9 @@
 
 nlohmann::json TestEnvironment::placement_of(int instance) const {
   const auto at = static_cast<std::size_t>(instance);
-  return {{"discovery", config::format_endpoint(upstream_addresses_[at].back())},
+  const Endpoint& discovery =
+      agents_[at].moved ? second_discovery_addresses_[at] : upstream_addresses_[at].back();
+  return {{"discovery", config::format_endpoint(discovery)},
           {"known", initial_lists_[at]},
           {"settings", instance_settings(plan_, instance)}};
 }
@@ -180,6 +191,27 @@
   }
 }
 
+// Where the plan says so, what discovery's agent has counts as told from the moment it has it.
+void TestEnvironment::record_agent_listing(int instance) {
+  const auto at = static_cast<std::size_t>(instance);
+  if (plan_.agent_notifies && !discoveries_[at]->failing() && clock_.now() >= agents_[at].notifies_from) {
+    record_listing(instance, list_servers(), clock_.now());
+  }
+}
+
+void TestEnvironment::instance_started(int instance) {
+  agents_[static_cast<std::size_t>(instance)].notifies_from = 0;
+  record_agent_listing(instance);
+}
+
+// Gives discovery another address. The caller reloads the process.
+void TestEnvironment::move_discovery(int instance) {
+  Agent& agent = agents_[static_cast<std::size_t>(instance)];
+  agent.moved = !agent.moved;
+  agent.notifies_from = clock_.now() + kMoveGrace;
+  timers_.set(agent.notifies_from, [this, instance] { record_agent_listing(instance); });
+}
+
 TestDiscovery::ListUpdate TestEnvironment::discovery_list(int instance) const {
   Json targets = Json::array();
   for (int server = 0; server < plan_.stores; ++server) {
@@ -271,11 +303,17 @@
       streams_.reset(relay_index);
     }
   }
-  if (step.fault.starts_with("discovery-")) {
+  if (step.fault == "discovery-moves") {
     for (const int instance : step.fronts) {
-      discoveries_[static_cast<std::size_t>(instance)]->set_silent(step.fault == "discovery-silent");
+      move_discovery(instance);
+    }
+  } else if (step.fault.starts_with("discovery-")) {
+    for (const int instance : step.fronts) {
+      TestDiscovery& discovery = *discoveries_[static_cast<std::size_t>(instance)];
+      discovery.set_failure(discovery_failure_of(step), step.by);
+      record_agent_listing(instance);
       if (step.fault == "discovery-speaks") {
-        discoveries_[static_cast<std::size_t>(instance)]->notify_watchers();
+        discovery.notify_watchers();
       }
     }
   }
@@ -337,6 +375,9 @@
   for (const auto& discovery : discoveries_) {
     discovery->notify_watchers();
   }
+  for (int instance = 0; instance < plan_.fronts; ++instance) {
+    record_agent_listing(instance);
+  }
 }
 
 void TestEnvironment::heal() { streams_.heal(); }
--- a/src/faulttest/environment.hpp
+++ b/src/faulttest/environment.hpp
@@ -34,6 +34,8 @@
   [[nodiscard]] nlohmann::json placement_of(int instance) const;
   void apply_fault(const Step& step);
   void heal();
+  // Records what a process is told by its start.
+  void instance_started(int instance);
   void enqueue(invariants::Event event) { checker_.record(std::move(event)); }
   // Starts the clients on the first call.
   void start_clients();
@@ -62,6 +64,8 @@
   };
   [[nodiscard]] TestDiscovery::ListUpdate discovery_list(int instance) const;
   [[nodiscard]] std::vector<ServerListing> list_servers() const;
+  void record_agent_listing(int instance);
+  void move_discovery(int instance);
   void record_listing(int instance, const std::vector<ServerListing>& listings, Millis at);
   void record_execution(const RequestExecuted& execution);
   template <typename Function>
@@ -81,8 +85,15 @@
   TestStores stores_;
   std::vector<std::unique_ptr<TestDiscovery>> discoveries_;
   std::vector<std::vector<Endpoint>> upstream_addresses_;  // by instance: relays to servers and discovery
+  std::vector<Endpoint> second_discovery_addresses_;       // by instance: further relays to discovery
   std::vector<Endpoint> client_addresses_;                 // relays to the instances, for clients
   TestClients clients_;
+  struct Agent {
+    bool moved = false;        // the instance reaches discovery through the second relay
+    Millis notifies_from = 0;  // what discovery has counts as told from this time on
+  };
+  std::vector<Agent> agents_;
+  net::Timers& timers_;
   long long revision_ = 1;
   nlohmann::json initial_lists_;  // by instance: the list at the start, as if saved by an earlier run
   struct ResponseInTransit {      // a response of discovery that its instance has not yet received
--- a/src/faulttest/fault_test.cpp
+++ b/src/faulttest/fault_test.cpp
@@ -112,6 +112,9 @@
           kLogLinesPerKind, step.clock, front, fleet.protocol_period, fleet.ack_timeout,
           fleet.suspicion_multiplier, fleet.forget_after, process(front).status_path(),
           quota + plan_.consistency + plan_.resends));
+  if (environment_) {
+    environment_->instance_started(front);
+  }
 }
 
 std::string FaultTest::placement_of(int front) const {
@@ -177,6 +180,12 @@
       }
     });
   }
+  if (step.fault == "pause") {  // unannounced: the invariants grant nothing for it
+    each([&](int front) {
+      process(front).signal(SIGSTOP);
+      timers_.set(clock_.now() + step.by, [this, front] { process(front).signal(SIGCONT); });
+    });
+  }
   if (step.fault.starts_with("cut")) {
     each([&](int front) {
       for (const int other : step.to) {
@@ -195,6 +204,9 @@
   if (environment_) {
     step.fault == "heal" ? environment_->heal() : environment_->apply_fault(step);
   }
+  if (step.fault == "discovery-moves") {
+    each([&](int front) { process(front).reload(placement_of(front)); });
+  }
   if (step.fault == "list") {
     listed_fronts_ = std::min(step.count, plan_.fronts);
     each([&](int front) { process(front).reload(placement_of(front)); });
--- a/src/faulttest/main.cpp
+++ b/src/faulttest/main.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <optional>
 
 #include "faulttest/fault_test.hpp"
 #include "faulttest/report.hpp"
@@ -107,6 +108,9 @@
   CLI::App* running = command("run", "run the plan");
   running->add_option("--program", program, "router program; default: reedspindle beside this program");
   running->add_option("--keep", keep, "folder for files and logs of the processes, kept after the run");
+  std::optional<std::uint64_t> seed;
+  running->add_option("--seed", seed, "seed of all random choices, instead of the plan's")
+      ->check(CLI::Range(0, 2147483646));
   running->add_flag("--times", times, "print duration and traffic of each step, and each view at the end");
   CLI::App* check = command("check", "validate the plan and print all errors");
   CLI::App* show = command("show", "print the steps");
@@ -145,8 +149,11 @@
       }
       return 0;
     }
-    const faulttest::Plan plan =
-        faulttest::parse_plan(operators::read_file(path, faulttest::kPlanForm), path);
+    operators::File file = operators::read_file(path, faulttest::kPlanForm);
+    if (seed) {
+      file.values["seed"] = *seed;
+    }
+    const faulttest::Plan plan = faulttest::parse_plan(file, path);
     if (*check) {
       std::cout << path << ": sound\n";
     }
--- a/src/faulttest/plan.cpp
+++ b/src/faulttest/plan.cpp
@@ -4,9 +4,12 @@
 #include <fmt/ranges.h>
 
 #include <iterator>
+#include <map>
 #include <random>
 #include <sstream>
 
+#include "faulttest/outages.hpp"
+
 namespace reedspindle::faulttest {
 
 extern const char* const kSchema;  // plan.json
@@ -43,6 +46,10 @@
   return faults.contains(fault);
 }
 
+bool is_outage_fault(const std::string& fault) {
+  return fault == "discovery-fails" || fault == "discovery-moves" || fault == "pause";
+}
+
 // Reads the parts of the plan other than fronts and steps: stores, clients and the parameters of the
 // invariants.
 void parse_environment(const nlohmann::json& values, Plan& plan) {
@@ -55,7 +62,10 @@
   plan.clients.rate = clients["rate"], plan.clients.sessions = clients["sessions"];
   plan.clients.request_timeout = clients["op-timeout"],
   plan.clients.latency_target = clients["latency-target"];
-  plan.terms.slack = terms["slack"], plan.terms.drain_grace = terms["drain-grace"];
+  plan.agent_notifies = terms["told"] == "agent";
+  plan.terms.slack = terms["slack"];
+  plan.terms.drain_slack = terms.value("drain-slack", plan.terms.slack);
+  plan.terms.drain_grace = terms["drain-grace"];
   plan.terms.slow_start_multiple = terms["fall-multiple"], plan.terms.overload_window = terms["fall"];
   plan.terms.slow_start_minimum = terms["cold-from"], plan.terms.slow_start_window = terms["warm-within"];
   plan.terms.capacity = plan.work.workers * 1000 / plan.work.work;
@@ -125,8 +135,8 @@
     Step step;
     step.line = file.lines.at(key);
     step.fault = entry["fault"], step.name = entry.value("name", ""), step.until = entry["until"];
-    step.in = entry["in"], step.sends = entry["sends-at-most"], step.probes = entry["probes-at-most"],
-    step.calls = entry["calls-at-most"];
+    step.in = entry["in"], step.how = entry["how"], step.sends = entry["sends-at-most"],
+    step.probes = entry["probes-at-most"], step.calls = entry["calls-at-most"];
     step.fronts = entry.contains("fronts") ? parse_indices(entry["fronts"]) : all_fronts(plan.fronts);
     step.to = parse_indices(entry.value("to", "")), step.of = parse_indices(entry.value("of", ""));
     step.none_failed = parse_indices(entry.value("none-failed", ""));
@@ -181,9 +191,13 @@
     if (!step.name.empty() && (step.fault != "start" || step.fronts.size() != 1)) {
       fault("'name' is allowed with the start of a single front only");
     }
-    if (step.fault == "drawn") {
+    if (plan.stores == 0 && (is_outage_fault(step.fault) || step.fault == "drawn-outages")) {
+      fault("requires stores in the plan");
+    }
+    if (step.fault == "drawn" || step.fault == "drawn-outages") {
+      const auto draw = step.fault == "drawn" ? random_faults : random_outages;
       const std::vector<Step> more =
-          random_faults(plan, step.count, step, plan.seed + static_cast<std::uint64_t>(step.line));
+          draw(plan, step.count, step, plan.seed + static_cast<std::uint64_t>(step.line));
       plan.steps.insert(plan.steps.end(), more.begin(), more.end());
     } else {
       plan.steps.push_back(std::move(step));
@@ -257,8 +271,23 @@
   return steps;
 }
 
+DiscoveryFailure discovery_failure_of(const Step& step) {
+  static const std::map<std::string, DiscoveryFailure> failures{
+      {"hangs", DiscoveryFailure::hangs},   {"holds", DiscoveryFailure::holds},
+      {"half", DiscoveryFailure::half},     {"trickles", DiscoveryFailure::trickles},
+      {"resets", DiscoveryFailure::resets}, {"refuses", DiscoveryFailure::refuses},
+      {"status", DiscoveryFailure::status}, {"late", DiscoveryFailure::late}};
+  if (step.fault == "discovery-fails") {
+    return failures.at(step.how);
+  }
+  return step.fault == "discovery-silent" ? DiscoveryFailure::silent : DiscoveryFailure::none;
+}
+
 std::string describe(const Step& step) {
   std::string text = step.fault == "none" ? "nothing" : step.fault;
+  if (step.fault == "discovery-fails") {
+    text += fmt::format(" {} of {}", step.how, fmt::join(step.fronts, ","));
+  }
   if (step.fault != "heal" && step.fault != "none" && !is_store_fault(step.fault) &&
       !step.fault.starts_with("discovery")) {
     text += fmt::format(" {}", fmt::join(step.fronts, ","));
--- a/src/faulttest/plan.hpp
+++ b/src/faulttest/plan.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "faulttest/test_clients.hpp"
+#include "faulttest/test_discovery.hpp"
 #include "faulttest/test_stores.hpp"
 #include "invariants/invariants.hpp"
 #include "membership/membership.hpp"
@@ -19,7 +20,7 @@
 extern const operators::Form kPlanForm;
 
 struct Step {
-  std::string fault, name, until, in;
+  std::string fault, name, until, in, how;
   std::set<int> fronts, to, of, none_failed, stores, spared;
   std::set<std::string> with;  // "discovery", "clients": further far sides of the links
   Millis clock = 0, by = 0, jitter = 0, lasts = 0, within = 0;
@@ -44,6 +45,7 @@
     double kept = 0;
   } quota;
   std::string consistency, resends;  // sections of the operators' file; empty: feature off
+  bool agent_notifies = false;       // what discovery's agent has counts as told, whether or not it was read
   Millis lag = 0;                    // replication lag, unless a step changes it
   StoreWork work;
   ClientWork clients;
@@ -58,6 +60,8 @@
 // Returns random faults, each followed by a random pause, then the steps that repair all of them and wait
 // until all fronts agree. The same seed gives the same faults.
 std::vector<Step> random_faults(const Plan& plan, int count, const Step& like, std::uint64_t seed);
+// Returns the failure of discovery that the step begins, or none if it ends one.
+DiscoveryFailure discovery_failure_of(const Step& step);
 // Describes a step in one line.
 std::string describe(const Step& step);
 
--- a/src/faulttest/scale.cpp
+++ b/src/faulttest/scale.cpp
@@ -314,10 +314,10 @@
     }
   }
   if (step == kOutageFirstStep) {
-    discovery_.set_silent(true);
+    discovery_.set_failure(DiscoveryFailure::silent);
   }
   if (step == kOutageLastStep) {
-    discovery_.set_silent(false);
+    discovery_.set_failure(DiscoveryFailure::none);
   }
   publish_list(changed_servers, step == kOutageLastStep);
 }
--- a/src/faulttest/test_discovery.hpp
+++ b/src/faulttest/test_discovery.hpp
@@ -14,6 +14,21 @@
 
 namespace reedspindle::faulttest {
 
+// How the service fails. Watches that are open when a failure begins are never answered, unless it says
+// otherwise.
+enum class DiscoveryFailure {
+  none,
+  silent,    // requests are not answered; open watches wait for the next change
+  hangs,     // requests are not answered, not even after the failure
+  holds,     // requests are answered once the failure is over, open watches too
+  half,      // half of the response is sent
+  trickles,  // a response arrives byte by byte and never ends
+  resets,    // connections are reset by a request; open watches are reset
+  refuses,   // nobody listens; open connections are closed
+  status,    // requests are answered with status 503
+  late,      // responses are delayed, and state the list of the time of the request
+};
+
 class TestDiscovery {
  public:
   struct ListUpdate {
@@ -30,28 +45,40 @@
                 const asio::ip::tcp::endpoint& at, ListSource list_source, OnWritten on_written = {});
   ~TestDiscovery();
 
-  [[nodiscard]] asio::ip::tcp::endpoint at() const { return acceptor_.local_endpoint(); }
+  [[nodiscard]] asio::ip::tcp::endpoint at() const { return address_; }
   // Answers all waiting watches.
   void notify_watchers();
-  // While silent, the server accepts requests and does not answer them.
-  void set_silent(bool silent) { silent_ = silent; }
+  // Begins or ends a failure. The delay is that of late responses.
+  void set_failure(DiscoveryFailure failure, Millis delay = 0);
+  [[nodiscard]] bool failing() const { return failure_ != DiscoveryFailure::none; }
   [[nodiscard]] std::uint64_t calls() const { return calls_; }
 
  private:
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
+  void listen();
   void accept();
+  void answer_held();
+  void drop_open_requests();
   void read(const ConnectionPtr& connection);
   void handle_request(const ConnectionPtr& connection, const std::string& line);
+  void answer(const ConnectionPtr& connection);
+  void fail(const ConnectionPtr& connection);
+  void trickle(const ConnectionPtr& connection);
+  void reset(const ConnectionPtr& connection);
   void respond(const ConnectionPtr& connection, const std::string& body, long long revision);
+  void write(const ConnectionPtr& connection);
 
   net::Timers& timers_;
   const net::Clock& clock_;
+  asio::ip::tcp::endpoint address_;
   asio::ip::tcp::acceptor acceptor_;
   const ListSource list_source_;
   const OnWritten on_written_;
-  std::list<std::weak_ptr<Connection>> watchers_;
-  bool silent_ = false;
+  std::list<std::weak_ptr<Connection>> connections_, watchers_;
+  std::list<ConnectionPtr> held_;
+  DiscoveryFailure failure_ = DiscoveryFailure::none;
+  Millis delay_ = 0;
   std::uint64_t calls_ = 0;
 };
 
--- a/testservers/test_environment.cpp
+++ b/testservers/test_environment.cpp
@@ -92,7 +92,8 @@
 void TestEnvironment::set_discovery_mode(DiscoveryMode mode) {
   run_on_loop([&] {
     discovery_mode_ = mode;
-    discovery_.set_silent(mode == DiscoveryMode::silent);
+    discovery_.set_failure(mode == DiscoveryMode::silent ? faulttest::DiscoveryFailure::silent
+                                                         : faulttest::DiscoveryFailure::none);
   });
 }
 void TestEnvironment::set_revision(long long revision) {
