Invariant checker: the drain rule's slack is the common slack unless a plan states its own

Cause: gave the drain rule a slack of its own with a default of 250 ms, so checkers built without a plan no longer used theirs.

Change: unset means the common slack.

Measured: invariants_drain failed before (three late sends of 601 to 710 ms not reported), passes now.

--- a/src/invariants/invariants.cpp
+++ b/src/invariants/invariants.cpp
@@ -80,7 +80,8 @@
   const auto& listed = listings_[sent.instance];
   const auto listing = listed.find(sent.server);
   if (listing != listed.end() && !listing->second.accepts_requests &&
-      sent.at > listing->second.since + options_.drain_grace + options_.drain_slack) {
+      sent.at >
+          listing->second.since + options_.drain_grace + options_.drain_slack.value_or(options_.slack)) {
     report(Rule::send_while_draining, sent.request, sent.instance, sent.server, sent.at,
            fmt::format("sent {:.0f} ms after the instance learned of the drain",
                        sent.at - listing->second.since));
--- a/src/invariants/invariants.hpp
+++ b/src/invariants/invariants.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -37,7 +38,7 @@
   Millis slack = 250;  // on all time limits, since event loops, relays and a busy machine add delay
   Millis reorder_tolerance = 50;  // events that are closer together may have been recorded in reverse order
   Millis drain_grace = 500;
-  Millis drain_slack = 250;        // the slack of the rule on draining servers
+  std::optional<Millis> drain_slack;  // the slack of the rule on draining servers; unset: slack
   double slow_start_multiple = 2;  // a cold server is overloaded beyond this multiple of its current capacity
   Millis overload_window = 3000;   // over which requests to a cold server are counted
   double slow_start_minimum = 1;   // initial fraction of a server's capacity
