Log: a NaN has one form on every processor; the bench's pair of doubles has a name

Cause: the sign of a computed NaN differs between x86-64 and arm64, and fmt shows it. GCC notes on arm64 that passing std::pair<double, double> changed with C++17.

The bench has a struct Traffic. Looked at: char is cast to unsigned where its value counts, no long double, ISO mode (no contraction to fused operations), digests and stored forms equal on both.

--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -35,6 +35,11 @@
                         : sorted[static_cast<std::size_t>(fraction * static_cast<double>(sorted.size() - 1))];
 }
 
+// What all proxies have received.
+struct Traffic {
+  double bytes = 0, responses = 0;
+};
+
 // Tracks since when each proxy no longer has the draining server as healthy.
 struct DrainWatch {
   std::mutex mutex;
@@ -116,14 +121,15 @@
 
   std::vector<double> delays;
   std::minstd_rand random(1);
-  const auto bytes_of = [&] {
-    std::pair<double, double> sum{0, 0};
+  const auto traffic = [&] {
+    Traffic sum;
     for (const auto& proxy : proxies) {
-      sum.first += static_cast<double>(proxy->bytes()), sum.second += static_cast<double>(proxy->responses());
+      sum.bytes += static_cast<double>(proxy->bytes());
+      sum.responses += static_cast<double>(proxy->responses());
     }
     return sum;
   };
-  const auto bytes_before = bytes_of();
+  const Traffic before = traffic();
   const double from = now_ms();
   const double processor_before = service.resource_usage().processor_ms;
   int not_informed = 0;
@@ -168,10 +174,10 @@
     }
   }
   const double duration = now_ms() - from;
-  const auto bytes_after = bytes_of();
+  const Traffic after = traffic();
   const ServiceProcess::ResourceUsage cost = service.resource_usage();
   std::ranges::sort(delays);
-  const double responses = bytes_after.second - bytes_before.second;
+  const double responses = after.responses - before.responses;
   std::cout << fmt::format(
       "{:>5} proxies {:>4} members {:<7} {:<9} {:<6}: drain p50 {:6.1f} p99 {:6.1f} max {:6.1f} ms, over 500 "
       "ms {}, not "
@@ -181,7 +187,7 @@
       options.reconnect ? "reconnect" : "steady", options.leases ? "leases" : "none", quantile(delays, 0.5),
       quantile(delays, 0.99), quantile(delays, 1),
       std::ranges::count_if(delays, [](double d) { return d > 500; }), not_informed, first_responses_time,
-      (bytes_after.first - bytes_before.first) / std::max(1.0, responses),
+      (after.bytes - before.bytes) / std::max(1.0, responses),
       (cost.processor_ms - processor_before) / std::max(1.0, responses),
       responses / duration * 1000 / options.proxies,
       (cost.resident_kb - resident_without_proxies) / options.proxies, resident_without_proxies);
--- a/src/logging/log.hpp
+++ b/src/logging/log.hpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <cmath>
 #include <initializer_list>
 #include <map>
 #include <memory>
@@ -22,11 +23,22 @@
 
 namespace reedspindle::logging {
 
+// Formats a value of a log line. The sign of a NaN depends on the processor, and is left out.
+template <typename T>
+std::string format_value(const T& value) {
+  if constexpr (std::is_floating_point_v<T>) {
+    if (std::isnan(value)) {
+      return "nan";
+    }
+  }
+  return fmt::format("{}", value);
+}
+
 // A named value of a log line, such as "server", "group", "peer" or "error".
 struct Field {
   template <typename T>
   Field(std::string_view field_name, const T& field_value)
-      : name(field_name), value(fmt::format("{}", field_value)), is_number(std::is_arithmetic_v<T>) {}
+      : name(field_name), value(format_value(field_value)), is_number(std::is_arithmetic_v<T>) {}
   std::string_view name;
   std::string value;
   bool is_number;
