Queued attempts are sent at the end of a turn, by what was received in it

Cause, by id 592: its connection became ready in the turn of the event loop in which 591's answer was read. The router handles answers at the end of a turn, the pool sent in the middle of it, so may_send was asked by the state before the answer. 592 was sent to a, which never answered; it ended at its deadline (9,000 ms). After a process was held up for 150 ms, both have been in the kernel for longer than the 100 ms after which an answer counts as known: a stale read, not the test's order.

Change: a connection that becomes ready waits for ConnectionPool::send_ready(), at the end of the turn, after the router. Bytes that come on it meanwhile belong to no request: it is closed. Drains of lists were tested in the pool itself and were not affected.

--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -108,6 +108,7 @@
     if (std::exchange(work_pending_, false) && !stopping_) {
       process_events();
     }
+    server_connections_.send_ready();
     log_.flush();
   }
   log_.info("control", "stopped", {{"name", options_.name}});
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -105,6 +105,7 @@
   if (router_run_needed_) {
     run_router();
   }
+  connection_pool_.send_ready();
   log_.flush();
   log_turn();
 }
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -254,7 +254,8 @@
 ConnectionPool::CallPtr ConnectionPool::close(ServerConnection& connection) {
   using State = ServerConnection::State;
   ServerPool& server = connection.server;
-  if (connection.state == State::opening || connection.state == State::resetting) {
+  if (connection.state == State::opening || connection.state == State::resetting ||
+      connection.state == State::ready) {
     --server.becoming_ready;
   }
   if (connection.state == State::idle) {
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "config/instance_config.hpp"
 #include "logging/log.hpp"
@@ -60,6 +61,11 @@
   // Queues one probe. The timeout is in milliseconds from now.
   void probe(const ServerId& server, Millis timeout);
 
+  // Sends queued calls on the connections that have become ready. To be called at the end of each turn of the
+  // event loop, when the router has processed what was received in it: it may have withdrawn what was decided
+  // before.
+  void send_ready();
+
   // Sets how many connections each server may have: new connections are opened up to `open`, and connections
   // beyond `hold` are closed.
   void set_connection_limits(std::size_t open, std::size_t hold);
@@ -111,6 +117,7 @@
   void reset(ServerConnection& connection);
   void reset_timed_out(const ConnectionPtr& connection);
   void became_ready(ServerConnection& connection);
+  void send_next(ServerConnection& connection);
   void make_idle(ServerConnection& connection);
   void handle_disconnect(ServerConnection& connection);
   void handle_unreadable(ServerConnection& connection);
@@ -128,6 +135,7 @@
   std::map<ServerId, std::unique_ptr<ServerPool>> servers_;
   std::list<ConnectionPtr> connections_;  // owns all connections
   std::list<ServerConnection*> idle_;     // of all servers, the longest idle first
+  std::vector<ConnectionPtr> ready_;      // for send_ready(); some may be closed
   std::map<std::pair<RequestId, AttemptNumber>, PendingCall*> attempts_;
   std::optional<net::Timers::Handle> idle_timer_;
   std::size_t open_limit_ = kUnlimited;  // for each server: new connections are opened up to this
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -190,9 +190,11 @@
       return handle_unreadable(*connection);
     }
   }
-  // The rest of a message that arrives on an idle connection may never come, and reset() would not use the
-  // connection.
-  if (connection->state == ServerConnection::State::idle && !connection->buffer.data().empty()) {
+  // The rest of a message that arrives on an unused connection may never come, or would be read as part of
+  // the next response.
+  const bool unused = connection->state == ServerConnection::State::idle ||
+                      connection->state == ServerConnection::State::ready;
+  if (unused && !connection->buffer.data().empty()) {
     return handle_disconnect(*connection);
   }
   read(connection);
@@ -295,11 +297,24 @@
   fail_open(*connection, AttemptOutcome::connect_failed);
 }
 
-// Sends the next queued call on a connection that has been opened or reset.
 void ConnectionPool::became_ready(ServerConnection& connection) {
+  timers_.cancel(connection.timer);
+  connection.state = ServerConnection::State::ready;
+  ready_.push_back(*connection.list_position);
+}
+
+void ConnectionPool::send_ready() {
+  for (const ConnectionPtr& connection : std::exchange(ready_, {})) {
+    if (connection->state == ServerConnection::State::ready) {
+      send_next(*connection);
+    }
+  }
+}
+
+// Sends the next queued call on a connection that has become ready.
+void ConnectionPool::send_next(ServerConnection& connection) {
   ServerPool& server = connection.server;
   --server.becoming_ready;
-  timers_.cancel(connection.timer);
   drop_unsendable(server);
   if (server.queue.empty() || is_stale(connection)) {
     return make_idle(connection);
--- a/src/upstream/server_connection.hpp
+++ b/src/upstream/server_connection.hpp
@@ -43,13 +43,14 @@
   Millis started_at = 0;  // Unix time; connections opened earlier are not used
   std::deque<std::unique_ptr<PendingCall>> queue;
   std::vector<ServerConnection*> idle;  // the most recently used one last
-  std::size_t becoming_ready = 0;       // connections that are opening or resetting
+  std::size_t becoming_ready = 0;       // connections that are opening, resetting or ready
   std::size_t connections = 0;          // in every state
 };
 
 // One connection to a server. Owned by the pool's list; pending callbacks share the ownership.
 struct ServerConnection {
-  enum class State { opening, idle, busy, resetting, closed };
+  // ready: opened or reset, and its queued call has not been sent yet.
+  enum class State { opening, resetting, ready, busy, idle, closed };
 
   ServerConnection(asio::io_context& io, ServerPool& of, net::MemoryBudget& budget)
       : socket(io), server(of), buffer(budget) {}
