Test proxy_pipelined: attempts on three connections may come in any order

Cause: the trace expected three attempts, sent on three connections, in their order; the test server looks at its connections one after the other, so bytes between two looks change it.

Change: receives-in-any-order waits for the three and prints them sorted. As strict: the same three requests have to be there before the first is answered, and no other.

--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -24,6 +24,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <string>
 #include <variant>
@@ -652,6 +653,19 @@
       std::cout << "  " << normalize_query(server.received_queries.front()) << '\n';
       return server.received_queries.pop_front();
     }
+    if (verb == "receives-in-any-order") {  // "receives-in-any-order 3": prints that many attempts sorted
+      std::size_t count = 0;
+      line >> count;
+      wait_for("all attempts", [&] { return server.received_queries.size() >= count; });
+      std::multiset<std::string> queries;
+      for (; queries.size() < count; server.received_queries.pop_front()) {
+        queries.insert(normalize_query(server.received_queries.front()));
+      }
+      for (const std::string& query : queries) {
+        std::cout << "  " << query << '\n';
+      }
+      return;
+    }
     if (verb == "receives-with-timeout") {  // "receives-with-timeout 1300": d is 1300 ms at most
       long limit = 0;
       line >> limit;
