Discovery: polled lists are heard from a slow service too, and each wait is a part of 6 s

A request for the full list gave up the polls in flight, again and again if it came often.

The full list is requested beside a poll in flight.

--- a/src/discovery/client.hpp
+++ b/src/discovery/client.hpp
@@ -94,7 +94,7 @@
   asio::ip::tcp::endpoint discovery_;
   Poller poller_;
   ServerTable table_;
-  std::vector<std::unique_ptr<ActivePoll>> polls_;  // at most ServerTable::kMaxDrafts
+  std::vector<std::unique_ptr<ActivePoll>> polls_;  // at most kMaxPolls
   ConnectionPtr idle_connection_;
   ListApplied applied_;  // the list whose changes are being delivered
   EndpointListKind delivered_kind_ = EndpointListKind::changes;
--- a/src/discovery/poll_timing.hpp
+++ b/src/discovery/poll_timing.hpp
@@ -19,15 +19,17 @@
 // The grace for draining servers if the settings do not state it.
 constexpr Millis kDefaultDrainGrace = 500;
 
+// The most polls in flight. A newer poll is sent beside one that is late, which may still be answered.
+constexpr std::size_t kMaxPolls = 2;
+
 struct PollTiming {
-  // The most polls in flight. A newer poll is sent beside one that is late, which may still be answered.
-  std::size_t max_polls = 1;
   // Time for which discovery may hold a long poll open until the list changes.
   Millis long_poll_wait = 0;
   // A poll is late after this time, in addition to its wait; after the second one if it has no wait.
   Millis late_after = 0, late_after_without_wait = 0;
-  // A poll is aborted after this time without a byte, in addition to its wait.
-  Millis silence_timeout = 0;
+  // A poll is aborted after this time without a byte, in addition to its wait; after the second one if it has
+  // no wait. Until then, an answer to a poll that is late still counts.
+  Millis silence_timeout = 0, silence_timeout_without_wait = 0;
   // Limits of the backoff after failed polls. It doubles with each consecutive failure; the delay is then
   // drawn between half of it and all of it.
   Millis min_backoff = 0, max_backoff = 0;
--- a/src/discovery/poller.cpp
+++ b/src/discovery/poller.cpp
@@ -2,14 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace reedspindle::discovery {
 namespace {
 
-constexpr Millis kNotScheduled = std::numeric_limits<Millis>::infinity();
-
 std::minstd_rand::result_type minstd_seed(std::uint64_t seed) {
   return static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1);
 }
@@ -44,8 +41,11 @@
 
 bool Poller::is_outdated(PollId id, long long revision) const {
   const auto poll = find(id);
-  if (poll != polls_.end() && poll->overtaken && revision <= revision_) {
-    return true;
+  if (poll != polls_.end() && poll->overtaken) {
+    const bool replaces_known = need_full_list_ && poll->requests_full_list;
+    if (revision < revision_ || (revision == revision_ && !replaces_known)) {
+      return true;
+    }
   }
   return std::ranges::any_of(polls_, [&](const Poll& other) {
     return other.id != id && other.early_revision && *other.early_revision > revision;
@@ -59,21 +59,10 @@
   }
 }
 
-void Poller::handle(const AddressChanged& /*unused*/) {
-  consecutive_failures_ = 0;
-  poll_full_list_now();
-}
-
-void Poller::handle(const FullListRequested& /*unused*/) {
-  if (running_) {
-    poll_full_list_now();
-  }
-  need_full_list_ = true;
-}
-
 // A list that is being delivered has already been validated: its delivery completes before the next poll is
 // sent.
-void Poller::poll_full_list_now() {
+void Poller::handle(const AddressChanged& /*unused*/) {
+  consecutive_failures_ = 0;
   need_full_list_ = true;
   polls_.clear();
   decisions_.emplace_back(AbortAllPolls{});
@@ -82,6 +71,13 @@
   next_poll_at_ = now_;
 }
 
+// A poll in flight stays: its answer may come before that of the full list.
+void Poller::handle(const FullListRequested& /*unused*/) {
+  need_full_list_ = true;
+  full_list_requested_meanwhile_ = delivering_.has_value();
+  next_poll_at_ = now_;
+}
+
 void Poller::handle(const StopPolling& /*unused*/) {
   running_ = false;
   polls_.clear();
@@ -127,7 +123,9 @@
   }
   const bool has_news = poll->requests_full_list || list.complete || list.revision != revision_;
   revision_ = list.revision;
-  need_full_list_ = std::exchange(full_list_requested_meanwhile_, false);
+  const bool is_full_list = poll->requests_full_list || list.complete;
+  need_full_list_ =
+      std::exchange(full_list_requested_meanwhile_, false) || (need_full_list_ && !is_full_list);
   answered(*poll, has_news);
   for (Poll& other : polls_) {
     other.overtaken = true;
@@ -201,10 +199,14 @@
   if (now_ < next_start_at()) {
     return;
   }
-  if (polls_.size() == timing_.max_polls) {
+  if (polls_.size() == kMaxPolls) {
     const Poll newest = std::move(polls_.back());
     polls_.pop_back();
-    fail(newest, "no response in time");
+    if (now_ < late_at(newest)) {
+      decisions_.emplace_back(AbortPoll{newest.id});
+    } else {
+      fail(newest, "no response in time");
+    }
   }
   start_poll();
 }
@@ -222,11 +224,12 @@
   polls_.push_back(poll);
 }
 
+// A full list that is needed is requested beside a poll for changes.
 Millis Poller::next_start_at() const {
-  if (polls_.empty()) {
+  if (polls_.empty() || (need_full_list_ && !polls_.back().requests_full_list)) {
     return next_poll_at_;
   }
-  return timing_.max_polls == 1 ? kNotScheduled : std::max(next_poll_at_, late_at(polls_.back()));
+  return std::max(next_poll_at_, late_at(polls_.back()));
 }
 
 void Poller::request_wakeup() {
@@ -253,7 +256,8 @@
 // rate.
 Millis Poller::expires_at(const Poll& poll) const {
   if (!poll.first_byte_at) {
-    return poll.sent_at + poll.wait + timing_.silence_timeout;
+    return poll.sent_at +
+           (poll.wait > 0 ? poll.wait + timing_.silence_timeout : timing_.silence_timeout_without_wait);
   }
   const Millis too_slow_at = *poll.first_byte_at + kRateGracePeriod + time_at_min_rate(poll.bytes);
   return std::min(*poll.last_byte_at + timing_.silence_timeout, too_slow_at);
--- a/src/discovery/poller.hpp
+++ b/src/discovery/poller.hpp
@@ -28,7 +28,7 @@
 struct StartPolling {};
 // Discovery has another address: the full list is requested from there.
 struct AddressChanged {};
-// The known list may be wrong: the full list is requested at once.
+// The known list may be wrong: the full list is requested at once, beside a poll in flight.
 struct FullListRequested {};
 struct StopPolling {};
 struct BytesReceived {
@@ -136,7 +136,6 @@
   void handle(const ListApplied& list);
   void handle(const ListDiscarded& discarded);
   void handle(const PollFailed& failure);
-  void poll_full_list_now();
   void abort_expired();
   void start_due();
   void start_poll();
--- a/src/faulttest/outages.cpp
+++ b/src/faulttest/outages.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::array kFailures{"hangs", "holds", "half", "trickles", "resets", "refuses", "status", "late"};
 constexpr Millis kShortestOutage = 500;
-constexpr Millis kMaxLateness = 900;  // of responses that come late
+constexpr Millis kMaxLateness = 2500;  // of responses that come late
 // The longest time for which the platform holds a process up.
 constexpr Millis kPause = 150;
 // Time after the return of an agent in which late sends would be seen.
--- a/tests/discovery_properties.cpp
+++ b/tests/discovery_properties.cpp
@@ -180,7 +180,7 @@
     for (const PollDecision& decision : poller.process(now)) {
       if (const auto* send = std::get_if<SendPoll>(&decision)) {
         service.accept(*send, now);
-        RC_ASSERT(service.open() <= timing.max_polls);
+        RC_ASSERT(service.open() <= kMaxPolls);
       }
       if (const auto* abort = std::get_if<AbortPoll>(&decision)) {
         service.abort(abort->id);
@@ -207,7 +207,7 @@
 
 bool polled_changes_arrive_in_time() {
   return rc::check("polled: a change is known 6 s after discovery had it and was reachable",
-                   [] { play_outages(polled_timing(), {.max_latency = 900}); });
+                   [] { play_outages(polled_timing(), {.max_latency = 2500}); });
 }
 
 // What discovery has counts as known: a change has to arrive within the grace for draining servers, less 150
@@ -218,12 +218,15 @@
     const PollTiming timing = pushed_timing(grace);
     RC_ASSERT(timing.meets_budget);
     const double polls_per_second = 1000 / timing.min_backoff * 2 + 1000 / timing.late_after_without_wait;
-    // Half of what is left of the grace is for the next poll, the other half for its response.
-    const Millis answer_time = timing.late_after_without_wait * *rc::gen::inRange(0, 96) / 100;
+    // Half of what is left of the grace is for the next poll, the other half for its response, of which the
+    // model's steps take up to two.
+    constexpr Millis kStep = 5;
+    const Millis answer_time =
+        std::max(0.0, timing.late_after_without_wait * *rc::gen::inRange(0, 101) / 100 - 2 * kStep);
     const Millis answering = std::min(grace - 160, timing.late_after_without_wait + answer_time + 20);
-    play_outages(timing, {.step = 5,
+    play_outages(timing, {.step = kStep,
                           .answering = answering,
-                          .max_latency = 1400,
+                          .max_latency = 2600,
                           .answer_time = answer_time,
                           .useless_per_second = static_cast<int>(polls_per_second) + 4});
   });
