Log which list ends the requests to a server; property: a known revision never goes back

Need: the incident's logs could not say by which list a server was known to drain.

Change: server_state: server receives no more requests server=... state=... revision=... queued_attempts_ended=...; parts of a list carry its revision. discovery_properties holds that the known revision never goes back.

--- a/src/discovery/client.cpp
+++ b/src/discovery/client.cpp
@@ -191,7 +191,8 @@
   ActivePoll& poll = poll_on(connection);
   if (!poll.early_changes.empty()) {
     poller_.enqueue(EarlyChangesApplied{poll.id, poll.early_revision});
-    on_list_({EndpointListKind::changes, poller_.revision(), std::exchange(poll.early_changes, {}), false});
+    on_list_({EndpointListKind::changes, poller_.revision(), std::exchange(poll.early_changes, {}), false,
+              poll.early_revision});
   }
   if (goes_on) {
     run_poller();
@@ -305,7 +306,8 @@
 void Client::deliver_part() {
   std::vector<net::ListedEndpoint> rows = table_.next_changes(kRowsPerPart);
   const bool last = !table_.has_changes();
-  on_list_({delivered_kind_, last ? applied_.revision : poller_.revision(), std::move(rows), last});
+  on_list_({delivered_kind_, last ? applied_.revision : poller_.revision(), std::move(rows), last,
+            applied_.revision});
   if (last) {
     end_delivery();
   } else {
--- a/src/net/endpoint_list.hpp
+++ b/src/net/endpoint_list.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <asio/ip/tcp.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
   long long revision = 0;  // from discovery
   std::vector<ListedEndpoint> servers;
   bool last = true;  // no more parts of this list follow
+  // The revision of the list that names these servers, if it is not complete yet.
+  std::optional<long long> partial_revision = std::nullopt;
 };
 
 }  // namespace reedspindle::net
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -60,6 +60,7 @@
     changed.push_back(server.get());
   }
   for (ServerPool* server : changed) {
+    log_state(*server, list);
     for (ServerConnection* connection : std::vector(server->idle)) {
       if (is_stale(*connection)) {
         close(*connection);
@@ -74,6 +75,19 @@
   }
 }
 
+// Logs which list says that no more requests may be sent to a server, and how many queued attempts end by it.
+void ConnectionPool::log_state(ServerPool& server, const net::EndpointList& list) {
+  if (std::exchange(server.logged_state, server.state) == server.state ||
+      server.state == ServerState::ready) {
+    return;
+  }
+  log_.info("server_state", "server receives no more requests",
+            {{"server", server.id.address},
+             {"state", server.state == ServerState::gone ? "gone" : "draining"},
+             {"revision", list.partial_revision.value_or(list.revision)},
+             {"queued_attempts_ended", server.queue.size()}});
+}
+
 void ConnectionPool::start_attempt(RequestId request, const StartAttempt& decision, Millis decided,
                                    AttemptNumber number, std::shared_ptr<const std::string> text,
                                    postgres::TextSpan remaining) {
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -81,6 +81,8 @@
   using CallPtr = std::unique_ptr<PendingCall>;
   static constexpr std::size_t kUnlimited = static_cast<std::size_t>(-1);
 
+  void log_state(ServerPool& server, const net::EndpointList& list);
+
   // The queues of calls (connection_pool.cpp).
   void enqueue(ServerPool& server, CallPtr call, Millis started, Millis timeout,
                std::optional<Millis> start_within = {});
--- a/src/upstream/server_connection.hpp
+++ b/src/upstream/server_connection.hpp
@@ -39,7 +39,7 @@
 struct ServerPool {
   ServerId id;
   asio::ip::tcp::endpoint endpoint;
-  ServerState state = ServerState::ready;
+  ServerState state = ServerState::ready, logged_state = ServerState::ready;
   Millis started_at = 0;  // Unix time; connections opened earlier are not used
   std::deque<std::unique_ptr<PendingCall>> queue;
   std::vector<ServerConnection*> idle;  // the most recently used one last
--- a/tests/discovery_properties.cpp
+++ b/tests/discovery_properties.cpp
@@ -152,6 +152,7 @@
   Millis responding_since = 0;
   std::map<long long, Millis> changed_at{{1, 0}};
   Millis second_start = 0;
+  long long known_revision = 0;
   const int steps = *rc::gen::inRange(500, 5000);
   Millis next_change = *rc::gen::inRange(0, 4000);
   Millis next_behavior = *rc::gen::inRange(0, 4000);
@@ -189,6 +190,8 @@
         service.abort({});
       }
     }
+    RC_ASSERT(poller.revision() >= known_revision);
+    known_revision = poller.revision();
     RC_ASSERT(service.useless <= limits.useless_per_second);
     if (now - second_start >= 1000) {
       second_start = now, service.useless = 0;
