--- a/src/faulttest/outages.cpp
+++ b/src/faulttest/outages.cpp
@@ -15,6 +15,8 @@
 constexpr Millis kPause = 150;
 // Time after the return of an agent in which late sends would be seen.
 constexpr Millis kObservation = 1200;
+// The longest time for which a killed process stays away.
+constexpr Millis kMaxRestart = 700;
 // SIGKILL follows SIGTERM no sooner than the longest deadline, or kShortestDrain, plus kKillMargin.
 constexpr Millis kShortestDrain = 3000, kKillMargin = 700;
 
@@ -68,6 +70,11 @@
     drained_ = step.stores;
   }
 
+  void add_restart() {
+    add("kill", below(kMaxRestart));
+    add("start", below(kPause));
+  }
+
   void add_outage() {
     const Millis duration = kShortestOutage + below(std::max(1.0, like_.by - kShortestOutage));
     const bool two_failures = one_in(3);
@@ -90,6 +97,10 @@
     if (paused && one_in(2)) {
       add_pause(below(kPause));
     }
+    const bool restarts = one_in(5);
+    if (restarts && one_in(2)) {
+      add_restart();
+    }
     add("discovery-speaks", drains_late || paused ? below(300) : kObservation);
     if (drains_late) {
       add_drain(paused ? below(300) : kObservation);
@@ -97,6 +108,10 @@
     if (paused) {
       add_pause(kObservation);
     }
+    if (restarts) {
+      add_restart();
+      add("none", kObservation);
+    }
     add("enlist", 300 + below(700)).stores = drained_;
   }
 
