Fault test: a connection is known by both of its ends, sends are charged to the right instance

Cause: the relays' records were kept by the source address of a connection alone. The kernel gives out a port again for another destination, so a send was charged to the instance whose discovery connection had the same port.

Change: ConnectionAddress, source and destination, is the key everywhere (relays, clients, responses of discovery).

--- a/src/faulttest/environment.cpp
+++ b/src/faulttest/environment.cpp
@@ -119,7 +119,8 @@
           if (responses_in_transit_.size() > kMaxTrackedConnections) {
             responses_in_transit_.erase(responses_in_transit_.begin());
           }
-          responses_in_transit_[to].push_back({bytes, instance, listings_.at(revision)});
+          const ConnectionAddress address{to, discoveries_[static_cast<std::size_t>(instance)]->at()};
+          responses_in_transit_[address].push_back({bytes, instance, listings_.at(revision)});
         }));
     std::vector<Endpoint>& addresses = upstream_addresses_.emplace_back();
     for (int server = 0; server < plan.stores; ++server) {
@@ -140,7 +141,7 @@
       [this](const RequestExecuted& execution) { record_execution(execution); },
       [this](int server, const std::string& op, const Endpoint& from) {
         ++sends_by_server_[static_cast<std::size_t>(server)];
-        if (const auto crossing = streams_.record(from)) {
+        if (const auto crossing = streams_.record({from, stores_.at(server)})) {
           checker_.record(invariants::RequestSent{
               op, {crossing->forwarder / relays_per_instance()}, {server}, crossing->forward.read});
         }
@@ -242,7 +243,7 @@
   if (execution.outcome != ExecutionOutcome::ran) {
     return;
   }
-  const auto crossing = streams_.record(execution.from);
+  const auto crossing = streams_.record({execution.from, stores_.at(execution.store)});
   checker_.record(invariants::RequestProcessed{execution.request,
                                                {execution.store},
                                                execution.token,
--- a/src/faulttest/environment.hpp
+++ b/src/faulttest/environment.hpp
@@ -103,7 +103,7 @@
     int instance = 0;
     std::vector<ServerListing> listings;
   };
-  std::map<Endpoint, std::deque<ResponseInTransit>> responses_in_transit_;
+  std::map<ConnectionAddress, std::deque<ResponseInTransit>> responses_in_transit_;
   bool clients_started_ = false;
   std::vector<std::uint64_t> sends_by_server_;
 };
--- a/src/faulttest/streams.cpp
+++ b/src/faulttest/streams.cpp
@@ -29,9 +29,11 @@
     acceptor.set_option(asio::socket_base::reuse_address(true));
     acceptor.bind(at);
     acceptor.listen(kBacklog);
+    address = acceptor.local_endpoint();
   }
   int number = 0;
   asio::ip::tcp::acceptor acceptor;
+  Endpoint address;  // on which it listens
   const Endpoint target;
   Direction forward, backward;
   int open = 0;  // connections that the opening party has not closed
@@ -70,7 +72,7 @@
   asio::ip::tcp::socket opener, target;
   std::shared_ptr<ConnectionRecord> record;
   Pipe forward, backward;
-  Endpoint opener_endpoint, target_endpoint;  // addresses as the opener and the target see them
+  ConnectionAddress opener_address, target_address;  // as the opener and the target see it
   bool connecting = false, connected = false, closed = false;
 };
 
@@ -106,11 +108,11 @@
         if (!fault) {
           const auto connection = std::make_shared<Connection>(forwarder, std::move(socket), io_);
           asio::error_code closed;
-          connection->opener_endpoint = connection->opener.remote_endpoint(closed);
+          connection->opener_address = {connection->opener.remote_endpoint(closed), forwarder.address};
           if (!closed) {
             connections_.push_back(connection);
             ++forwarder.open;
-            by_endpoint_[connection->opener_endpoint] = connection;
+            by_address_[connection->opener_address] = connection;
             read(connection, connection->forward);
             connect(connection);
           }
@@ -124,24 +126,24 @@
     return;
   }
   connection->connecting = true;
-  connection->target.async_connect(
-      connection->forwarder.target, [this, connection](const asio::error_code& fault) {
-        if (connection->closed) {
-          return;
-        }
-        if (fault) {
-          return reset_connection(connection);
-        }
-        connection->connected = true;
-        asio::error_code ignored;
-        connection->target_endpoint = connection->target.local_endpoint(ignored);
-        by_endpoint_[connection->target_endpoint] = connection;
-        for (asio::ip::tcp::socket* socket : {&connection->opener, &connection->target}) {
-          socket->set_option(asio::ip::tcp::no_delay(true), ignored);
-        }
-        deliver(connection, connection->forward);
-        read(connection, connection->backward);
-      });
+  connection->target.async_connect(connection->forwarder.target, [this,
+                                                                  connection](const asio::error_code& fault) {
+    if (connection->closed) {
+      return;
+    }
+    if (fault) {
+      return reset_connection(connection);
+    }
+    connection->connected = true;
+    asio::error_code ignored;
+    connection->target_address = {connection->target.local_endpoint(ignored), connection->forwarder.target};
+    by_address_[connection->target_address] = connection;
+    for (asio::ip::tcp::socket* socket : {&connection->opener, &connection->target}) {
+      socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+    deliver(connection, connection->forward);
+    read(connection, connection->backward);
+  });
 }
 
 void StreamRelay::read(const ConnectionPtr& connection, Pipe& pipe) {
@@ -222,8 +224,8 @@
   pipe.buffered -= bytes;
   pipe.queue.pop_front();
   if (on_delivery_) {
-    on_delivery_({connection->forwarder.number, &pipe == &connection->backward, connection->opener_endpoint,
-                  connection->target_endpoint, pipe.transfer.bytes_written, pipe.transfer.written});
+    on_delivery_({connection->forwarder.number, &pipe == &connection->backward, connection->opener_address,
+                  connection->target_address, pipe.transfer.bytes_written, pipe.transfer.written});
   }
   deliver(connection, pipe);
   read(connection, pipe);
@@ -248,9 +250,9 @@
   timers_.cancel(connection->forward.timer);
   timers_.cancel(connection->backward.timer);
   const Millis now = clock_.now();
-  for (const Endpoint& end : {connection->opener_endpoint, connection->target_endpoint}) {
-    if (by_endpoint_.erase(end) > 0) {
-      closed_records_[end] = {now, connection->record}, closed_order_.push_back(end);
+  for (const ConnectionAddress& address : {connection->opener_address, connection->target_address}) {
+    if (by_address_.erase(address) > 0) {
+      closed_records_[address] = {now, connection->record}, closed_order_.push_back(address);
     }
   }
   while (!closed_order_.empty()) {
@@ -294,13 +296,13 @@
   return forwarders_.at(static_cast<std::size_t>(forwarder))->open;
 }
 
-std::shared_ptr<const ConnectionRecord> StreamRelay::record(const Endpoint& end) const {
-  if (const auto found = by_endpoint_.find(end); found != by_endpoint_.end()) {
+std::shared_ptr<const ConnectionRecord> StreamRelay::record(const ConnectionAddress& address) const {
+  if (const auto found = by_address_.find(address); found != by_address_.end()) {
     if (const ConnectionPtr connection = found->second.lock()) {
       return connection->record;
     }
   }
-  const auto closed = closed_records_.find(end);
+  const auto closed = closed_records_.find(address);
   return closed == closed_records_.end() ? nullptr : closed->second.second;
 }
 
--- a/src/faulttest/streams.hpp
+++ b/src/faulttest/streams.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "net/clock.hpp"
@@ -21,6 +22,15 @@
 
 using Endpoint = asio::ip::tcp::endpoint;
 
+// Identifies an open connection. A source alone does not: the kernel gives out a port again for another
+// destination.
+struct ConnectionAddress {
+  Endpoint source, destination;  // source: of the party that opened the connection
+  bool operator<(const ConnectionAddress& other) const {
+    return std::tie(source, destination) < std::tie(other.source, other.destination);
+  }
+};
+
 // One direction of a link.
 struct Direction {
   bool cut = false;
@@ -56,15 +66,15 @@
   // Connections that the opening party has not closed.
   [[nodiscard]] int open_connections(int forwarder) const;
 
-  // The record of a connection, by the address of either party on it; kept for a while after both have closed
-  // it.
-  [[nodiscard]] std::shared_ptr<const ConnectionRecord> record(const Endpoint& end) const;
+  // The record of a connection, by its address on either side of the relay; kept for a while after both
+  // parties have closed it.
+  [[nodiscard]] std::shared_ptr<const ConnectionRecord> record(const ConnectionAddress& address) const;
   // Bytes have been written to a party: to the target of the connection or, backward, to its opener.
   struct Delivery {
     int forwarder = -1;
     bool backward = false;
-    Endpoint opener, target;        // addresses of the connection as opener and target see them
-    std::size_t bytes_written = 0;  // total bytes written in this direction of the connection
+    ConnectionAddress opener, target;  // of the connection as opener and target see it
+    std::size_t bytes_written = 0;     // total bytes written in this direction of the connection
     Millis at = 0;
   };
   void set_callback(std::function<void(const Delivery&)> on_delivery) {
@@ -91,10 +101,10 @@
   std::minstd_rand random_;
   std::vector<std::unique_ptr<Forwarder>> forwarders_;
   std::list<ConnectionPtr> connections_;  // owns all connections
-  std::map<Endpoint, std::weak_ptr<Connection>> by_endpoint_;
-  std::map<Endpoint, std::pair<Millis, std::shared_ptr<const ConnectionRecord>>>
-      closed_records_;                // with the time of closing
-  std::list<Endpoint> closed_order_;  // keys of closed_records_, oldest first
+  std::map<ConnectionAddress, std::weak_ptr<Connection>> by_address_;
+  std::map<ConnectionAddress, std::pair<Millis, std::shared_ptr<const ConnectionRecord>>>
+      closed_records_;                         // with the time of closing
+  std::list<ConnectionAddress> closed_order_;  // keys of closed_records_, oldest first
   std::function<void(const Delivery&)> on_delivery_;
 };
 
--- a/src/faulttest/test_clients.cpp
+++ b/src/faulttest/test_clients.cpp
@@ -65,7 +65,7 @@
   Session& session;
   const int front;
   Tcp::socket socket;
-  Endpoint end;
+  ConnectionAddress address;
   std::string received, out;
   std::array<char, 4096> bytes;
   std::size_t sent = 0;  // total bytes
@@ -189,8 +189,10 @@
                                      }
                                      asio::error_code ignored;
                                      connection->socket.set_option(Tcp::no_delay(true), ignored);
-                                     connection->end = connection->socket.local_endpoint(ignored);
-                                     by_endpoint_[connection->end] = connection;
+                                     connection->address = {
+                                         connection->socket.local_endpoint(ignored),
+                                         fronts_[static_cast<std::size_t>(connection->front)]};
+                                     by_address_[connection->address] = connection;
                                      connection->out = postgres::startup("svc", "main");
                                      write(connection);
                                      read(connection);
@@ -214,8 +216,8 @@
 }
 
 void TestClients::on_delivery(const StreamRelay::Delivery& delivery) {
-  const auto found = by_endpoint_.find(delivery.opener);
-  const ConnectionPtr connection = found == by_endpoint_.end() ? nullptr : found->second.lock();
+  const auto found = by_address_.find(delivery.opener);
+  const ConnectionPtr connection = found == by_address_.end() ? nullptr : found->second.lock();
   if (!connection || !connection->request || delivery.backward || delivery.bytes_written < connection->sent) {
     return;
   }
@@ -278,7 +280,7 @@
   if (!op) {
     return;
   }
-  const auto record = streams_.record(connection->end);
+  const auto record = streams_.record(connection->address);
   const Millis now = clock_.now();
   const bool busy = connection->code == "53300" || connection->code == "57P03";
   const invariants::ResponseKind answer = connection->code.empty() ? invariants::ResponseKind::acknowledged
@@ -307,7 +309,7 @@
     on_answer(connection);
   }
   const std::shared_ptr<Op> op = std::exchange(connection->request, nullptr);
-  const auto record = streams_.record(connection->end);
+  const auto record = streams_.record(connection->address);
   close(connection);
   if (!op) {
     return;
@@ -373,7 +375,7 @@
   }
   asio::error_code ignored;
   connection->socket.close(ignored);
-  by_endpoint_.erase(connection->end);
+  by_address_.erase(connection->address);
   std::erase(connection->session.idle, connection);
   --connection->session.connections;
   connections_.remove(connection);
--- a/src/faulttest/test_clients.hpp
+++ b/src/faulttest/test_clients.hpp
@@ -103,7 +103,7 @@
   std::vector<std::unique_ptr<Session>> sessions_;
   std::map<std::string, std::shared_ptr<Op>> ops_;  // open ops by id
   std::list<ConnectionPtr> connections_;            // owns all connections
-  std::map<Endpoint, std::weak_ptr<Connection>> by_endpoint_;
+  std::map<ConnectionAddress, std::weak_ptr<Connection>> by_address_;
   std::map<std::string, Millis> commits_;  // commit positions of open writes
   std::deque<Tally> tallies_;
   std::optional<net::Timers::Handle> next_op_;
--- a/tests/log.cpp
+++ b/tests/log.cpp
@@ -58,7 +58,8 @@
     log.info("upstream", "seen", {{"server", "s-1"}, {"lag", 12.5}, {"count", 3}, {"empty", ""}});
     log.warn("upstream", "hostile value", {{"error", "a \"b\" c=d\n2026 error forged: line\x01"}});
     if (json) {
-      log.error("upstream", "invalid UTF-8", {{"error", "\xff\xc3\xa4\xe2\x82"}, {"nan", kNan}, {"negative_nan", -kNan}});
+      log.error("upstream", "invalid UTF-8",
+                {{"error", "\xff\xc3\xa4\xe2\x82"}, {"nan", kNan}, {"negative_nan", -kNan}});
     }
     log.info("upstream", "fourth line of its component");
     log.info("discovery", "another component");
