Discovery: an idle connection that its agent has ended is not used for a poll

Found by reading: a poll on an idle connection that the agent had closed failed, and the next one followed after a back-off (up to 85 ms at a grace of 500 ms), a part of the budget for nothing; and a write that fails after its response was complete would have looked up a poll that is gone.

Change: reusable() asks the kernel (peek) for an end or bytes; a failure of a connection without a poll is ignored.

No test forces the order (not forced).

--- a/src/discovery/client.cpp
+++ b/src/discovery/client.cpp
@@ -145,6 +145,9 @@
   const std::string path =
       poll.since ? fmt::format("/discovery/hosts?since={}&timeout_ms={:.0f}", *poll.since, poll.wait)
                  : "/discovery/hosts";
+  if (idle_connection_ && !idle_connection_->reusable()) {
+    std::exchange(idle_connection_, nullptr)->close();
+  }
   log_.debug("discovery", "request sent",
              {{"path", path}, {"connection", idle_connection_ ? "reused" : "new"}});
   auto active = std::make_unique<ActivePoll>();
@@ -163,8 +166,10 @@
                               config::format_endpoint(discovery_)));
 }
 
-Client::ActivePoll& Client::poll_on(const HttpConnection& connection) {
-  return **std::ranges::find(polls_, &connection, [](const auto& poll) { return poll->connection.get(); });
+Client::ActivePoll* Client::find_poll(const HttpConnection& connection) {
+  const auto found =
+      std::ranges::find(polls_, &connection, [](const auto& poll) { return poll->connection.get(); });
+  return found == polls_.end() ? nullptr : found->get();
 }
 
 void Client::add_row(ActivePoll& poll, net::ListedEndpoint row, const ListReader::Head& head) {
@@ -180,15 +185,15 @@
 }
 
 void Client::bytes_received(HttpConnection& connection, std::size_t bytes) {
-  poller_.enqueue(BytesReceived{poll_on(connection).id, bytes});
+  poller_.enqueue(BytesReceived{find_poll(connection)->id, bytes});
 }
 
 void Client::body_received(HttpConnection& connection, std::string_view part) {
-  poll_on(connection).reader->read(part);
+  find_poll(connection)->reader->read(part);
 }
 
 void Client::part_read(HttpConnection& connection, bool goes_on) {
-  ActivePoll& poll = poll_on(connection);
+  ActivePoll& poll = *find_poll(connection);
   if (!poll.early_changes.empty()) {
     poller_.enqueue(EarlyChangesApplied{poll.id, poll.early_revision});
     on_list_({EndpointListKind::changes, poller_.revision(), std::exchange(poll.early_changes, {}), false,
@@ -203,7 +208,7 @@
   if (status != kStatusOk) {
     return request_failed(connection, fmt::format("HTTP status {}, expected 200", status), false);
   }
-  ActivePoll& poll = poll_on(connection);
+  ActivePoll& poll = *find_poll(connection);
   ListReader::Head head;
   try {
     head = poll.reader->finish();
@@ -286,8 +291,11 @@
 }
 
 void Client::request_failed(HttpConnection& connection, const std::string& error, bool invalid_body) {
-  poller_.enqueue(PollFailed{poll_on(connection).id, error, invalid_body});
-  run_poller();
+  // An idle connection may fail, too.
+  if (const ActivePoll* poll = find_poll(connection)) {
+    poller_.enqueue(PollFailed{poll->id, error, invalid_body});
+    run_poller();
+  }
 }
 
 // Another list that arrives meanwhile waits in the kernel.
--- a/src/discovery/client.hpp
+++ b/src/discovery/client.hpp
@@ -81,7 +81,8 @@
   void begin_delivery(const ListApplied& list, EndpointListKind kind);
   void deliver_part();
   void end_delivery();
-  ActivePoll& poll_on(const HttpConnection& connection);
+  // Returns null if there is no poll on the connection.
+  ActivePoll* find_poll(const HttpConnection& connection);
   void remove_poll(PollId id);
 
   asio::io_context& io_;
--- a/src/discovery/http_connection.cpp
+++ b/src/discovery/http_connection.cpp
@@ -146,6 +146,16 @@
   wait_readable();
 }
 
+bool HttpConnection::reusable() {
+  if (!socket_.is_open()) {
+    return false;
+  }
+  asio::error_code error;
+  char byte = 0;
+  socket_.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
 bool HttpConnection::has_unread_bytes() const {
   asio::error_code error;
   return socket_.is_open() && socket_.available(error) > 0;
--- a/src/discovery/http_connection.hpp
+++ b/src/discovery/http_connection.hpp
@@ -44,8 +44,9 @@
   void pause_reading() { paused_ = true; }
   void resume_reading();
 
-  // Whether the server keeps the connection open for another request; valid after a complete response.
-  [[nodiscard]] bool reusable() const { return socket_.is_open(); }
+  // Whether the server keeps the connection open for another request, and has sent nothing beyond the last
+  // response; valid after a complete response.
+  [[nodiscard]] bool reusable();
   [[nodiscard]] bool has_unread_bytes() const;
   [[nodiscard]] std::size_t body_bytes() const { return body_bytes_; }
 
