Discovery: where lists are asked for, polls after a lost one are 2 s apart

Cause: 1,500 ms made 0.67 polls a second in an outage, where 1 s of silence and a back-off of some 0.75 s made 0.57; each poll is work for a service that is asked.

Change: 2,000 ms, 0.5 a second by calculation. The sum stays in the 6 s: 2,000 and an answer after 2,740 ms.

--- a/src/discovery/poll_timing.cpp
+++ b/src/discovery/poll_timing.cpp
@@ -20,7 +20,7 @@
 
 // Where lists are polled: a watch that is late has fallen silent. Polls after it are sent at this interval.
 constexpr Millis kWatchSilenceTimeout = 1000;
-constexpr Millis kPolledInterval = 1500;
+constexpr Millis kPolledInterval = 2000;
 
 // Where lists are pushed: with a poll sent in each such interval, an agent that has just come back is asked
 // within half of what is left of the grace; the other half is for its response.
