One place each for the generator's seed, the settings reader, the status and all fronts

Behaviour is meant to be as it was.

- routing/settings_reader: the reader that routing had to itself; the discovery client had written its look-up again.
- kStatusOk stood in the client and the HTTP connection; all_fronts was a loop of its own in drawn outages.
- Client::delivering_ was written and never read; the poll timing was worked out three times; the kernel was asked about an idle connection at the end of a poll and again before the next one, which alone needs it.
- The most polls in flight and the most lists being read are held together by a static_assert.

--- a/src/consistency/consistency_monitor.cpp
+++ b/src/consistency/consistency_monitor.cpp
@@ -9,6 +9,8 @@
 #include <tuple>
 #include <utility>
 
+#include "core/random.hpp"
+
 namespace reedspindle::consistency {
 namespace {
 
@@ -30,7 +32,7 @@
 class ConsistencyMonitorImpl final : public ConsistencyMonitor {
  public:
   ConsistencyMonitorImpl(const Options& options, std::uint64_t seed)
-      : options_(options), random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {}
+      : options_(options), random_(make_random(seed)) {}
 
   void enqueue(Event event) override { events_.push_back(std::move(event)); }
 
--- a/src/discovery/client.cpp
+++ b/src/discovery/client.cpp
@@ -7,12 +7,12 @@
 #include <utility>
 #include <variant>
 
+#include "routing/settings_reader.hpp"
 #include "settings/settings.hpp"
 
 namespace reedspindle::discovery {
 namespace {
 
-constexpr int kStatusOk = 200;
 // Maximum number of servers delivered in one turn of the event loop.
 constexpr std::size_t kRowsPerPart = 256;
 // Memory per known server, counting this table, the connections to servers and the router; and the divisor
@@ -20,15 +20,16 @@
 constexpr std::size_t kBytesPerServer = 1024, kMemoryDivisor = 2;
 
 Millis drain_grace_of(const Settings& settings) {
-  const auto found = settings.find("rule.drain_grace");
-  const auto* grace = found == settings.end() ? nullptr : std::get_if<double>(&found->second);
-  return grace ? *grace : kDefaultDrainGrace;
+  return SettingsReader(settings).number("rule.drain_grace", kDefaultDrainGrace);
 }
 
 PollTiming timing_of(const config::InstanceConfig& config) {
   return config.polls_endpoints ? polled_timing() : pushed_timing(drain_grace_of(config.router_settings));
 }
 
+// Each poll in flight has a list that is being read.
+static_assert(kMaxPolls <= ServerTable::kMaxDrafts);
+
 }  // namespace
 
 Client::Client(asio::io_context& io, net::Timers& timers, const net::Clock& clock, logging::Log& log,
@@ -51,7 +52,7 @@
   if (start_wanted_) {
     return;
   }
-  if (!timing_of(config_).meets_budget) {
+  if (!poller_.timing().meets_budget) {
     log_.warn("discovery", "grace for draining servers too short, drains may be known too late",
               {{"drain_grace_ms", drain_grace_of(config_.router_settings)}});
   }
@@ -205,7 +206,7 @@
 }
 
 void Client::response_completed(HttpConnection& connection, int status) {
-  if (status != kStatusOk) {
+  if (status != HttpConnection::kStatusOk) {
     return request_failed(connection, fmt::format("HTTP status {}, expected 200", status), false);
   }
   ActivePoll& poll = *find_poll(connection);
@@ -273,7 +274,7 @@
   const ConnectionPtr connection = poll.connection;
   table_.discard(poll.draft);
   std::erase_if(polls_, [&poll](const auto& each) { return each.get() == &poll; });
-  if (connection->reusable() && !idle_connection_) {
+  if (connection->is_open() && !idle_connection_) {
     idle_connection_ = connection;
   } else {
     connection->close();
@@ -302,7 +303,6 @@
 void Client::begin_delivery(const ListApplied& list, EndpointListKind kind) {
   applied_ = list;
   delivered_kind_ = kind;
-  delivering_ = true;
   for (const auto& poll : polls_) {
     poll->connection->pause_reading();
   }
@@ -324,7 +324,6 @@
 }
 
 void Client::end_delivery() {
-  delivering_ = false;
   for (const auto& poll : polls_) {
     poll->connection->resume_reading();
   }
--- a/src/discovery/client.hpp
+++ b/src/discovery/client.hpp
@@ -99,7 +99,6 @@
   ConnectionPtr idle_connection_;
   ListApplied applied_;  // the list whose changes are being delivered
   EndpointListKind delivered_kind_ = EndpointListKind::changes;
-  bool delivering_ = false;
   bool start_wanted_ = false;  // polling starts once the saved list has been delivered
   std::optional<net::Timers::Handle> wakeup_;
 };
--- a/src/discovery/http_connection.cpp
+++ b/src/discovery/http_connection.cpp
@@ -5,11 +5,6 @@
 #include "settings/settings.hpp"
 
 namespace reedspindle::discovery {
-namespace {
-
-constexpr int kStatusOk = 200;
-
-}  // namespace
 
 const http_parser_settings& HttpConnection::parser_settings() {
   static const http_parser_settings settings = [] {
@@ -147,7 +142,7 @@
 }
 
 bool HttpConnection::reusable() {
-  if (!socket_.is_open()) {
+  if (!is_open()) {
     return false;
   }
   asio::error_code error;
--- a/src/discovery/http_connection.hpp
+++ b/src/discovery/http_connection.hpp
@@ -33,6 +33,8 @@
 
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
+  static constexpr int kStatusOk = 200;
+
   // The handler has to outlive the connection's last callback, which comes before close() returns.
   HttpConnection(asio::io_context& io, HttpResponseHandler& handler) : socket_(io), handler_(handler) {}
 
@@ -44,8 +46,9 @@
   void pause_reading() { paused_ = true; }
   void resume_reading();
 
-  // Whether the server keeps the connection open for another request, and has sent nothing beyond the last
-  // response; valid after a complete response.
+  // After a complete response: whether the response allows another request, and whether the server has since
+  // neither ended the connection nor sent more.
+  [[nodiscard]] bool is_open() const { return socket_.is_open(); }
   [[nodiscard]] bool reusable();
   [[nodiscard]] bool has_unread_bytes() const;
   [[nodiscard]] std::size_t body_bytes() const { return body_bytes_; }
--- a/src/discovery/poller.cpp
+++ b/src/discovery/poller.cpp
@@ -4,19 +4,17 @@
 #include <cmath>
 #include <utility>
 
+#include "core/random.hpp"
+
 namespace reedspindle::discovery {
 namespace {
 
-std::minstd_rand::result_type minstd_seed(std::uint64_t seed) {
-  return static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1);
-}
-
 // The time that the bytes received so far take at the minimum rate.
 Millis time_at_min_rate(std::size_t bytes) { return 1000 * static_cast<double>(bytes) / kMinBytesPerSecond; }
 
 }  // namespace
 
-Poller::Poller(std::uint64_t seed, const PollTiming& timing) : timing_(timing), random_(minstd_seed(seed)) {}
+Poller::Poller(std::uint64_t seed, const PollTiming& timing) : timing_(timing), random_(make_random(seed)) {}
 
 std::vector<PollDecision> Poller::process(Millis now) {
   now_ = now;
--- a/src/discovery/poller.hpp
+++ b/src/discovery/poller.hpp
@@ -106,6 +106,7 @@
   // Handles the enqueued events and expired times, and returns what is to be done.
   std::vector<PollDecision> process(Millis now);
 
+  [[nodiscard]] const PollTiming& timing() const { return timing_; }
   [[nodiscard]] bool poll_in_flight() const { return !polls_.empty(); }
   // Returns the revision of the last list that was applied, 0 before the first.
   [[nodiscard]] long long revision() const { return revision_; }
--- a/src/faulttest/outages.cpp
+++ b/src/faulttest/outages.cpp
@@ -5,6 +5,8 @@
 #include <random>
 #include <utility>
 
+#include "core/random.hpp"
+
 namespace reedspindle::faulttest {
 namespace {
 
@@ -23,9 +25,7 @@
 class OutageSequence {
  public:
   OutageSequence(const Plan& plan, const Step& like, std::uint64_t seed)
-      : plan_(plan),
-        like_(like),
-        random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {}
+      : plan_(plan), like_(like), random_(make_random(seed)) {}
 
   std::vector<Step> draw(int count) {
     for (int outage = 0; outage < count; ++outage) {
@@ -46,9 +46,7 @@
     step.line = like_.line;
     step.within = like_.within;
     step.lasts = lasts;
-    for (int front = 0; front < plan_.fronts; ++front) {
-      step.fronts.insert(front);
-    }
+    step.fronts = all_fronts(plan_.fronts);
     steps_.push_back(std::move(step));
     return steps_.back();
   }
--- a/src/faulttest/plan.cpp
+++ b/src/faulttest/plan.cpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <sstream>
 
+#include "core/random.hpp"
 #include "faulttest/outages.hpp"
 
 namespace reedspindle::faulttest {
@@ -32,14 +33,6 @@
   return fronts;
 }
 
-std::set<int> all_fronts(int fronts) {
-  std::set<int> all;
-  for (int front = 0; front < fronts; ++front) {
-    all.insert(front);
-  }
-  return all;
-}
-
 bool is_store_fault(const std::string& fault) {
   static const std::set<std::string> faults{"fall",  "rise",    "hang",  "recover", "errors", "lag",
                                             "stall", "promote", "drain", "unlist",  "enlist"};
@@ -209,8 +202,16 @@
   return plan;
 }
 
+std::set<int> all_fronts(int fronts) {
+  std::set<int> all;
+  for (int front = 0; front < fronts; ++front) {
+    all.insert(front);
+  }
+  return all;
+}
+
 std::vector<Step> random_faults(const Plan& plan, int count, const Step& like, std::uint64_t seed) {
-  std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1));
+  std::minstd_rand random = make_random(seed);
   const auto random_below = [&random](int most) {
     return static_cast<int>(random() % static_cast<unsigned>(most));
   };
--- a/src/faulttest/plan.hpp
+++ b/src/faulttest/plan.hpp
@@ -57,6 +57,7 @@
 bool is_consistency_condition(const std::string& until);
 // Throws operators::InvalidFile.
 Plan parse_plan(const operators::File& file, const std::string& path);
+std::set<int> all_fronts(int fronts);
 // Returns random faults, each followed by a random pause, then the steps that repair all of them and wait
 // until all fronts agree. The same seed gives the same faults.
 std::vector<Step> random_faults(const Plan& plan, int count, const Step& like, std::uint64_t seed);
--- a/src/faulttest/relay.cpp
+++ b/src/faulttest/relay.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/random.hpp"
+
 namespace reedspindle::faulttest {
 
 constexpr std::size_t kReplayable = 256;  // last datagrams of each front that are kept for replay
@@ -31,7 +33,7 @@
     : timers_(timers),
       clock_(clock),
       fronts_(std::move(fronts)),
-      random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
+      random_(make_random(seed)),
       links_(fronts_.size() * fronts_.size()),
       sent_traffic_(fronts_.size()) {
   for (const Endpoint& at : endpoints) {
--- a/src/faulttest/streams.cpp
+++ b/src/faulttest/streams.cpp
@@ -5,6 +5,8 @@
 #include <deque>
 #include <utility>
 
+#include "core/random.hpp"
+
 namespace reedspindle::faulttest {
 
 namespace {
@@ -78,10 +80,7 @@
 
 StreamRelay::StreamRelay(asio::io_context& io, net::Timers& timers, const net::Clock& clock,
                          std::uint64_t seed)
-    : io_(io),
-      timers_(timers),
-      clock_(clock),
-      random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {}
+    : io_(io), timers_(timers), clock_(clock), random_(make_random(seed)) {}
 
 StreamRelay::~StreamRelay() = default;
 
--- a/src/faulttest/test_clients.cpp
+++ b/src/faulttest/test_clients.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <utility>
 
+#include "core/random.hpp"
 #include "postgres/codec.hpp"
 
 namespace reedspindle::faulttest {
@@ -87,7 +88,7 @@
       fronts_(std::move(fronts)),
       groups_(std::max(1, groups)),
       work_(work),
-      random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+      random_(make_random(seed)) {
   for (int number = 0; number < work_.sessions; ++number) {
     sessions_.push_back(std::make_unique<Session>());
     Session& session = *sessions_.back();
--- a/src/faulttest/test_stores.cpp
+++ b/src/faulttest/test_stores.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <utility>
 
+#include "core/random.hpp"
 #include "postgres/codec.hpp"
 
 namespace reedspindle::faulttest {
@@ -85,11 +86,7 @@
 
 TestStores::TestStores(asio::io_context& io, net::Timers& timers, const net::Clock& clock,
                        const std::vector<Tcp::endpoint>& at, const StoreWork& work, std::uint64_t seed)
-    : io_(io),
-      timers_(timers),
-      clock_(clock),
-      work_(work),
-      random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+    : io_(io), timers_(timers), clock_(clock), work_(work), random_(make_random(seed)) {
   for (const Tcp::endpoint& endpoint : at) {
     stores_.push_back(std::make_unique<Store>(io, size()));
     stores_.back()->at = endpoint;
--- a/src/faulttest/virtual_fleet.cpp
+++ b/src/faulttest/virtual_fleet.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/random.hpp"
+
 namespace reedspindle::faulttest {
 
 // The number of datagrams that a socket buffers while its process is paused.
@@ -13,7 +15,7 @@
 VirtualFleet::VirtualFleet(int instances, membership::Options options, std::uint64_t seed, Factory factory)
     : membership_options_(std::move(options)),
       factory_(std::move(factory)),
-      random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
+      random_(make_random(seed)),
       processes_(at(instances)) {
   for (int instance = 0; instance < instances; ++instance) {
     processes_[at(instance)].name = fmt::format("n{}", instance);
--- a/src/faulttest/virtual_routers.cpp
+++ b/src/faulttest/virtual_routers.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/random.hpp"
+
 namespace reedspindle::faulttest {
 namespace {
 
@@ -33,7 +35,7 @@
 VirtualRouters::VirtualRouters(const FleetOptions& options, std::uint64_t seed)
     : options_(options),
       fleet_(options.instances, membership::Options{}, seed),
-      random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
+      random_(make_random(seed)),
       instances_(static_cast<std::size_t>(options.instances)) {
   fleet_.link_up = [this](int from, int to) {
     return blocked_links_.empty() || !blocked_links_.contains({from, to});
--- a/src/membership/membership_impl.hpp
+++ b/src/membership/membership_impl.hpp
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/random.hpp"
 #include "membership/peer_table.hpp"
 
 namespace reedspindle::membership {
@@ -47,7 +48,7 @@
  public:
   MembershipImpl(const Options& options, std::uint64_t seed)
       : options_(options),
-        random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
+        random_(make_random(seed)),
         peers_(options.max_peers),
         datagrams_from_(static_cast<std::size_t>(options.slots)) {}
 
--- a/src/quota/quota_manager_impl.hpp
+++ b/src/quota/quota_manager_impl.hpp
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/random.hpp"
 #include "quota/quota_manager.hpp"
 
 namespace reedspindle::quota {
@@ -55,7 +56,7 @@
 class QuotaManagerImpl final : public QuotaManager {
  public:
   QuotaManagerImpl(const Options& options, std::uint64_t seed)
-      : options_(options), random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {}
+      : options_(options), random_(make_random(seed)) {}
 
   void enqueue(Event event) override { events_.push_back(std::move(event)); }
 
--- a/src/routing/router_options.cpp
+++ b/src/routing/router_options.cpp
@@ -4,7 +4,8 @@
 #include <algorithm>
 #include <initializer_list>
 #include <string>
-#include <variant>
+
+#include "routing/settings_reader.hpp"
 
 namespace reedspindle::routing {
 namespace {
@@ -13,33 +14,6 @@
 // reports from look-ups.
 constexpr double kLongRunningFactor = 5;
 
-// Typed look-up of settings by name, with defaults.
-class SettingsReader {
- public:
-  explicit SettingsReader(const Settings& settings) : settings_(settings) {}
-
-  [[nodiscard]] double number(const std::string& name, double otherwise = 0) const {
-    return value(name, otherwise);
-  }
-  [[nodiscard]] bool flag(const std::string& name) const { return number(name) > 0; }
-  [[nodiscard]] std::string word(const std::string& name, const std::string& otherwise) const {
-    return value(name, otherwise);
-  }
-
- private:
-  template <typename T>
-  [[nodiscard]] T value(const std::string& name, const T& otherwise) const {
-    const auto found = settings_.find(name);
-    if (found == settings_.end()) {
-      return otherwise;
-    }
-    const T* const stated = std::get_if<T>(&found->second);
-    return stated ? *stated : otherwise;
-  }
-
-  const Settings& settings_;
-};
-
 // Returns the index of a word in a list, or the length of the list if it is not found.
 long index_of(const std::string& word, std::initializer_list<const char*> words) {
   return std::ranges::find(words, word) - words.begin();
--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -735,8 +735,8 @@
     if (!connection) {
       fail("no attempt with that id");
     }
-    if (verb == "responds" ||
-        any_attempt) {  // "responds 7 VALUE rank copy as_of NOW": name and value of each status
+    // "responds 7 VALUE rank copy as_of NOW": name and value of each status
+    if (verb == "responds" || any_attempt) {
       std::string response;
       std::string name;
       std::string value;
