Review case 6: replies that no longer fit their budget go on holding their memory

The case now uses reads in place of writes, a limit of 64 MB in place of 32, and 12 stores in 2 sets. It shows a graver fault of the same rule: PendingReplies::charge puts a short error in the place of a reply that does not fit, by a copy that keeps the old string's storage. 40 connections with 200 commands at once hold 64 replies of 64 KiB each.

The rig can now tell whether the front has read all that a client wrote.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-constexpr int kStores = 20, kGroups = 4;            // 19 to 26 data servers, sets of about 5
+constexpr int kStores = 12, kGroups = 2;            // 9 to 12 data servers, sets of 5 to 7
 constexpr int kUsual = 80, kBad = 40;               // connections; together under a third of the descriptors
-constexpr int kMemoryMb = 32, kSockets = 1024;      // within 32 to 192 MB, 256 to 1,024 descriptors
+constexpr int kMemoryMb = 64, kSockets = 1024;      // within 32 to 192 MB, 256 to 1,024 descriptors
 constexpr std::size_t kValueBytes = 64 * 1024;      // "values are at most 64 KiB"
 constexpr int kCommandsAtOnce = 200;                // "hundreds of commands at once"
-constexpr double kCalm = 5000, kTrouble = 40000;
+constexpr double kCalm = 5000, kTrouble = 25000;
 
 long status_kb(pid_t pid, const char* name) {
   std::ifstream file("/proc/" + std::to_string(pid) + "/status");
@@ -75,7 +75,7 @@
   front.wait_ready();
 
   static std::atomic<bool> stop{false}, bad_on{false};
-  static std::atomic<long> asked{0}, served{0}, refused{0}, other{0}, bad_sent{0};
+  static std::atomic<long> asked{0}, served{0}, refused{0}, other{0}, bad_sent{0}, bad_read{0};
   std::vector<std::thread> threads;
   // Usual clients: some 250 requests a second together, 12 of 100 a write.
   for (int i = 0; i < kUsual; ++i) {
@@ -101,7 +101,8 @@
       }
     });
   }
-  // Bad clients: hundreds of commands at once, at full speed; they read whatever they are sent.
+  // Bad clients: hundreds of commands at once, at full speed; they read whatever they are sent. The commands are reads
+  // in the form that stores take, with ids of their own.
   for (int i = 0; i < kBad; ++i) {
     threads.emplace_back([&, i] {
       while (!bad_on && !stop) sleep_ms(20);
@@ -111,18 +112,22 @@
           sleep_ms(50);
           continue;
         }
-        const int group = static_cast<int>((now_ms() - record_file().start) / 4000) % kGroups;
-        std::thread reader([&client] {
-          std::string got;
-          while (read_some(client.fd, got, -1) > 0) got.clear();
-        });
-        for (int k = 0; k < kCommandsAtOnce && !stop; ++k) {
-          const std::string id = new_id();
-          if (!write_all(client.fd, query(insert_text("b" + std::to_string(i), hex, id, "booking-write", 2000, group, id)))) break;
-          ++bad_sent;
+        // The next commands follow when all of these are answered.
+        for (bool open = true; open && !stop;) {
+          std::string commands;
+          for (int k = 0; k < kCommandsAtOnce; ++k) {
+            const bool report = k % 3 == 0;
+            commands += query(select_text("b" + std::to_string(i), new_id(), report ? "firing-report" : "slot-browse",
+                                          report ? 12000 : 1000, k % kGroups));
+          }
+          open = write_all(client.fd, commands);
+          bad_sent += open ? kCommandsAtOnce : 0;
+          for (int k = 0; open && k < kCommandsAtOnce && !stop; ++k) {
+            const Reply reply = client.read_until_ready(15000);
+            open = reply.kind != Reply::Kind::closed && reply.kind != Reply::Kind::none;
+            bad_read += static_cast<long>(reply.value.size());
+          }
         }
-        shutdown(client.fd, SHUT_RDWR);
-        reader.join();
       }
     });
   }
@@ -147,8 +152,9 @@
     const long held = status_kb(front.pid, "RssAnon:") + std::max(0L, status_kb(front.pid, "RssShmem:"));
     peak = std::max(peak, held);
     if (now_ms() - begun > next_line || peak > last_peak + 2048) {
-      rec("front holds %ld kB, peak %ld kB of %d kB; usual asked %ld served %ld refused %ld other %ld; bad sent %ld; stores ran %ld",
-          held, peak, kMemoryMb * 1024, asked.load(), served.load(), refused.load(), other.load(), bad_sent.load(), runs.load());
+      rec("front holds %ld kB, peak %ld kB of %d kB; usual asked %ld served %ld refused %ld other %ld; bad sent %ld, read %ld MB; stores ran %ld",
+          held, peak, kMemoryMb * 1024, asked.load(), served.load(), refused.load(), other.load(), bad_sent.load(),
+          bad_read.load() >> 20, runs.load());
       next_line = now_ms() - begun + 2000;
       last_peak = peak;
     }
--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -619,6 +619,40 @@
   cannot_run("the front was not ready in time");
 }
 
+// Bytes of this connection that the kernel holds for the front and that the front has not read; -1 if the front's
+// end of the connection is gone. Seen from outside, in the kernel's own table.
+inline long unread_by_front(const Client& client, const Front& front) {
+  sockaddr_in own{};
+  socklen_t size = sizeof own;
+  if (getsockname(client.fd, reinterpret_cast<sockaddr*>(&own), &size) != 0) return -1;
+  const sockaddr_in far = address_of(front.host, front.port);
+  char local[32], remote[32];
+  std::snprintf(local, sizeof local, "%08X:%04X", far.sin_addr.s_addr, static_cast<unsigned>(front.port));
+  std::snprintf(remote, sizeof remote, "%08X:%04X", own.sin_addr.s_addr, static_cast<unsigned>(ntohs(own.sin_port)));
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line);
+  while (std::getline(table, line)) {
+    std::istringstream fields(line);
+    std::string number, at, to, state, queues;
+    fields >> number >> at >> to >> state >> queues;
+    if (at != local || to != remote) continue;
+    const std::size_t colon = queues.find(':');
+    return colon == std::string::npos ? -1 : std::strtol(queues.c_str() + colon + 1, nullptr, 16);
+  }
+  return -1;
+}
+// True if the front has read all that the client has written: within the time, nothing of it is left unread in the
+// kernel while the front's end of the connection still exists.
+inline bool read_whole_by_front(const Client& client, const Front& front, double limit_ms) {
+  for (const double until = now_ms() + limit_ms; now_ms() < until; sleep_ms(5)) {
+    const long unread = unread_by_front(client, front);
+    if (unread == 0) return true;
+    if (unread < 0) return false;
+  }
+  return false;
+}
+
 // ---- a small deployment's settings ----
 
 struct ClassSpec {
