--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-constexpr int kStores = 12, kGroups = 2;            // 9 to 12 data servers, sets of 5 to 7
-constexpr int kUsual = 80, kBad = 40;               // connections; together under a third of the descriptors
-constexpr int kMemoryMb = 64, kSockets = 1024;      // within 32 to 192 MB, 256 to 1,024 descriptors
-constexpr std::size_t kValueBytes = 64 * 1024;      // "values are at most 64 KiB"
-constexpr int kCommandsAtOnce = 200;                // "hundreds of commands at once"
+constexpr int kStores = 12, kGroups = 2;        // 9 to 12 data servers, sets of 5 to 7
+constexpr int kUsual = 80, kBad = 40;           // connections; together under a third of the descriptors
+constexpr int kMemoryMb = 64, kSockets = 1024;  // within 32 to 192 MB, 256 to 1,024 descriptors
+constexpr std::size_t kValueBytes = 64 * 1024;  // "values are at most 64 KiB"
+constexpr int kCommandsAtOnce = 200;            // "hundreds of commands at once"
 constexpr double kCalm = 5000, kTrouble = 25000;
 
 long status_kb(pid_t pid, const char* name) {
@@ -49,14 +49,16 @@
       const double mean = q.type == "firing-report" ? 900 : q.type == "booking-write" ? 35 : 50;
       sleep_ms(std::min(5 * mean, std::exponential_distribution<>(1 / mean)(random)));
       ++runs;
-      std::string out = row_of(value, q.write ? "INSERT 0 1" : "SELECT 1") + parameter("rank", s.primary ? "source" : "copy");
+      std::string out = row_of(value, q.write ? "INSERT 0 1" : "SELECT 1") +
+                        parameter("rank", s.primary ? "source" : "copy");
       if (q.write) out += parameter("as_of", std::to_string(static_cast<long long>(now_ms()) + 1));
       c.send(out + ready());
     };
     store.start();
   }
   discovery.update([&](auto& targets) {
-    for (int i = 0; i < kStores; ++i) targets[stores[i]->uid] = {stores[i]->uid, stores[i]->endpoint(), "active", i % kGroups, 0, 0};
+    for (int i = 0; i < kStores; ++i)
+      targets[stores[i]->uid] = {stores[i]->uid, stores[i]->endpoint(), "active", i % kGroups, 0, 0};
   });
 
   SettingsSpec spec;  // multan-kilns: see the wire's page for the example that these follow
@@ -91,18 +93,18 @@
         const int group = static_cast<int>(draw() * kGroups);
         const bool write = std::string(type.needs) == "update";
         ++asked;
-        const Reply reply =
-            client.ask(write ? insert_text("u" + std::to_string(i), hex, id, type.name, type.deadline_ms, group, id)
-                             : select_text("u" + std::to_string(i), id, type.name, type.deadline_ms, group),
-                       type.deadline_ms + 1000);
+        const Reply reply = client.ask(
+            write ? insert_text("u" + std::to_string(i), hex, id, type.name, type.deadline_ms, group, id)
+                  : select_text("u" + std::to_string(i), id, type.name, type.deadline_ms, group),
+            type.deadline_ms + 1000);
         ++(reply.kind == Reply::Kind::served ? served : reply.kind == Reply::Kind::refused ? refused : other);
         if (reply.kind == Reply::Kind::closed || reply.kind == Reply::Kind::none) client.open(front);
         sleep_ms(120 + 240 * draw());
       }
     });
   }
-  // Bad clients: hundreds of commands at once, at full speed; they read whatever they are sent. The commands are reads
-  // in the form that stores take, with ids of their own.
+  // Bad clients: hundreds of commands at once, at full speed; they read whatever they are sent. The commands
+  // are reads in the form that stores take, with ids of their own.
   for (int i = 0; i < kBad; ++i) {
     threads.emplace_back([&, i] {
       while (!bad_on && !stop) sleep_ms(20);
@@ -117,8 +119,9 @@
           std::string commands;
           for (int k = 0; k < kCommandsAtOnce; ++k) {
             const bool report = k % 3 == 0;
-            commands += query(select_text("b" + std::to_string(i), new_id(), report ? "firing-report" : "slot-browse",
-                                          report ? 12000 : 1000, k % kGroups));
+            commands +=
+                query(select_text("b" + std::to_string(i), new_id(), report ? "firing-report" : "slot-browse",
+                                  report ? 12000 : 1000, k % kGroups));
           }
           open = write_all(client.fd, commands);
           bad_sent += open ? kCommandsAtOnce : 0;
@@ -152,9 +155,10 @@
     const long held = status_kb(front.pid, "RssAnon:") + std::max(0L, status_kb(front.pid, "RssShmem:"));
     peak = std::max(peak, held);
     if (now_ms() - begun > next_line || peak > last_peak + 2048) {
-      rec("front holds %ld kB, peak %ld kB of %d kB; usual asked %ld served %ld refused %ld other %ld; bad sent %ld, read %ld MB; stores ran %ld",
-          held, peak, kMemoryMb * 1024, asked.load(), served.load(), refused.load(), other.load(), bad_sent.load(),
-          bad_read.load() >> 20, runs.load());
+      rec("front holds %ld kB, peak %ld kB of %d kB; usual asked %ld served %ld refused %ld other %ld; bad "
+          "sent %ld, read %ld MB; stores ran %ld",
+          held, peak, kMemoryMb * 1024, asked.load(), served.load(), refused.load(), other.load(),
+          bad_sent.load(), bad_read.load() >> 20, runs.load());
       next_line = now_ms() - begun + 2000;
       last_peak = peak;
     }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -30,7 +30,8 @@
     store.on_statement = [](Store& s, StoreConnection& c, const Statement& q, const std::string&) {
       sleep_ms(20);
       rec("store %s ran id=%s", s.uid.c_str(), q.id.c_str());
-      c.send(row_of("value of " + q.id, "SELECT 1") + parameter("rank", s.primary ? "source" : "copy") + ready());
+      c.send(row_of("value of " + q.id, "SELECT 1") + parameter("rank", s.primary ? "source" : "copy") +
+             ready());
     };
     store.start();
   }
@@ -53,7 +54,8 @@
   front.wait_ready();
 
   static std::atomic<bool> stop{false}, bad_on{false};
-  static std::atomic<long> asked{0}, served{0}, answered_else{0}, lost{0}, crossed{0}, unread{0}, silent_open{0};
+  static std::atomic<long> asked{0}, served{0}, answered_else{0}, lost{0}, crossed{0}, unread{0},
+      silent_open{0};
   std::vector<std::thread> threads;
   for (int i = 0; i < kSlow; ++i) {
     threads.emplace_back([&, i] {
@@ -61,7 +63,9 @@
       Client client;
       while (!stop) {
         // A connection of the client's own, a first request written at once, then one written in two parts.
-        if (!client.open(front) || client.ask(select_text("k", new_id(), "slot-browse", 1000, 0), 2000).kind != Reply::Kind::served) {
+        if (!client.open(front) ||
+            client.ask(select_text("k", new_id(), "slot-browse", 1000, 0), 2000).kind !=
+                Reply::Kind::served) {
           sleep_ms(100);
           continue;
         }
@@ -75,7 +79,8 @@
           double ended = 0;
           while (now_ms() < first + kPause) {
             pollfd item{client.fd, POLLRDHUP, 0};
-            if (!ended && poll(&item, 1, 0) == 1 && (item.revents & (POLLRDHUP | POLLHUP | POLLERR))) ended = now_ms();
+            if (!ended && poll(&item, 1, 0) == 1 && (item.revents & (POLLRDHUP | POLLHUP | POLLERR)))
+              ended = now_ms();
             sleep_ms(2);
           }
           const bool written = write_all(client.fd, bytes.substr(half));
@@ -91,7 +96,8 @@
             ++crossed;  // the end may have crossed the request's first bytes: not counted
           } else if (read) {
             ++lost;
-            rec("LOST id=%s: first part at 0, end of the connection seen after %.0f ms, last byte written after %.0f ms and read by the front, no answer (%s)",
+            rec("LOST id=%s: first part at 0, end of the connection seen after %.0f ms, last byte written "
+                "after %.0f ms and read by the front, no answer (%s)",
                 id.c_str(), ended ? ended - first : -1.0, last - first, word_of(reply.kind));
           } else {
             ++unread;  // the front may not have read the last part: not counted
@@ -132,14 +138,17 @@
     }
     if (front.ended()) cannot_run("the front ended");
     sleep_ms(500);
-    rec("slow requests: asked %ld served %ld refused or failed %ld lost %ld crossed %ld not read %ld; silent connections %ld", asked.load(),
-        served.load(), answered_else.load(), lost.load(), crossed.load(), unread.load(), silent_open.load());
+    rec("slow requests: asked %ld served %ld refused or failed %ld lost %ld crossed %ld not read %ld; silent "
+        "connections %ld",
+        asked.load(), served.load(), answered_else.load(), lost.load(), crossed.load(), unread.load(),
+        silent_open.load());
   }
   stop = true;
   for (auto& thread : threads) thread.join();
   front.stop(SIGKILL);
-  rec("asked %ld served %ld refused or failed %ld lost %ld, not counted: crossed %ld not read %ld: %s", asked.load(), served.load(),
-      answered_else.load(), lost.load(), crossed.load(), unread.load(), lost > 0 ? "broken" : "held");
+  rec("asked %ld served %ld refused or failed %ld lost %ld, not counted: crossed %ld not read %ld: %s",
+      asked.load(), served.load(), answered_else.load(), lost.load(), crossed.load(), unread.load(),
+      lost > 0 ? "broken" : "held");
   if (served == 0) cannot_run("no request was served");
   std::_Exit(lost > 0 ? 1 : 0);
 }
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,4 +1,5 @@
-// Case 8: clients that send much at once and go: attempts for them begin long after they have closed their connections.
+// Case 8: clients that send much at once and go: attempts for them begin long after they have closed their
+// connections.
 #include "../common-2/rig.hpp"
 
 using namespace rig;
@@ -7,8 +8,8 @@
 
 constexpr int kSockets = 1024, kMemoryMb = 64;  // within 256 to 1,024 descriptors and 32 to 192 MB
 constexpr int kLeaving = 6;                     // bad clients, each with one connection, in each round
-constexpr int kShort = 80, kLong = 24;          // commands of each after its first: "hundreds of commands at once"
-constexpr double kGoneAfter = 100 + 50;         // 0.1 s, and 50 ms that each time limit is longer on sockets
+constexpr int kShort = 80, kLong = 24;   // commands of each after its first: "hundreds of commands at once"
+constexpr double kGoneAfter = 100 + 50;  // 0.1 s, and 50 ms that each time limit is longer on sockets
 constexpr int kRounds = 6;
 
 struct Left {
@@ -41,8 +42,8 @@
         if (gone != left.closed.end() && came > gone->second + kGoneAfter) {
           ++late;
           late_writes += q.write ? 1 : 0;
-          rec("LATE: %s got id=%s (%s) %.0f ms after its client closed", s.uid.c_str(), q.id.c_str(), q.type.c_str(),
-              came - gone->second);
+          rec("LATE: %s got id=%s (%s) %.0f ms after its client closed", s.uid.c_str(), q.id.c_str(),
+              q.type.c_str(), came - gone->second);
         }
       }
       if (q.write && !s.primary) {
@@ -50,7 +51,8 @@
         return;
       }
       sleep_ms(q.type == "firing-report" ? 1000 : q.type == "booking-write" ? 40 : 60);
-      std::string out = row_of("value of " + q.id, q.write ? "INSERT 0 1" : "SELECT 1") + parameter("rank", s.primary ? "source" : "copy");
+      std::string out = row_of("value of " + q.id, q.write ? "INSERT 0 1" : "SELECT 1") +
+                        parameter("rank", s.primary ? "source" : "copy");
       if (q.write) out += parameter("as_of", std::to_string(static_cast<long long>(now_ms()) + 1));
       c.send(out + ready());
     };
@@ -99,7 +101,8 @@
         all += query(select_text("k", id(), "firing-report", 12000, 0));
         for (int i = 0; i < kShort; ++i) {
           const std::string one = id();
-          all += i % 2 ? query(insert_text("k", "00", one, "booking-write", 2000, 0, one)) : query(select_text("k", one, "slot-browse", 1000, 0));
+          all += i % 2 ? query(insert_text("k", "00", one, "booking-write", 2000, 0, one))
+                       : query(select_text("k", one, "slot-browse", 1000, 0));
         }
         for (int i = 0; i < kLong; ++i) {
           const std::string one = id();
@@ -140,15 +143,17 @@
       });
     }
     for (auto& thread : threads) thread.join();
-    rec("round %d: %d clients have sent and %s", round, kLeaving, trouble() ? "closed" : "read their answers");
+    rec("round %d: %d clients have sent and %s", round, kLeaving,
+        trouble() ? "closed" : "read their answers");
     sleep_ms(trouble() ? 5000 : 1000);
     if (front.ended()) cannot_run("the front ended");
   }
   stop = true;
   usual.join();
   front.stop(SIGKILL);
-  rec("attempts %ld, begun over %.0f ms after the close %ld (writes %ld); usual asked %ld served %ld: %s", attempts.load(),
-      kGoneAfter, late.load(), late_writes.load(), asked.load(), served.load(), late > 0 ? "broken" : "held");
+  rec("attempts %ld, begun over %.0f ms after the close %ld (writes %ld); usual asked %ld served %ld: %s",
+      attempts.load(), kGoneAfter, late.load(), late_writes.load(), asked.load(), served.load(),
+      late > 0 ? "broken" : "held");
   if (served == 0) cannot_run("no usual request was served");
   std::_Exit(late > 0 ? 1 : 0);
 }
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -7,8 +7,9 @@
 
 constexpr int kSockets = 1024, kMemoryMb = 64;
 constexpr int kClients = 16, kRounds = 6;
-constexpr int kParts = 8;            // of one slowly written request
-constexpr double kBetween = 70;      // ms between two parts: the whole takes 0.5 s, of the 1 s that its client waits
+constexpr int kParts = 8;  // of one slowly written request
+constexpr double kBetween =
+    70;  // ms between two parts: the whole takes 0.5 s, of the 1 s that its client waits
 constexpr double kBeforeStop = 1000;
 
 }  // namespace
@@ -28,7 +29,8 @@
     store.on_statement = [](Store& s, StoreConnection& c, const Statement& q, const std::string&) {
       sleep_ms(20);
       rec("store %s ran id=%s", s.uid.c_str(), q.id.c_str());
-      c.send(row_of("value of " + q.id, "SELECT 1") + parameter("rank", s.primary ? "source" : "copy") + ready());
+      c.send(row_of("value of " + q.id, "SELECT 1") + parameter("rank", s.primary ? "source" : "copy") +
+             ready());
     };
     store.start();
   }
@@ -59,7 +61,8 @@
         Client client;
         if (!client.open(front)) return;
         client.ask(select_text("k", new_id(), "slot-browse", 1000, 0), 2000);
-        // Each begins its request at another moment around the stop; its first part comes while the front still listens.
+        // Each begins its request at another moment around the stop; its first part comes while the front
+        // still listens.
         sleep_ms(stop_at - 100 + 38.0 * i - now_ms());
         const std::string id = new_id();
         const std::string bytes = query(select_text("k", id, "slot-browse", 1000, 0));
@@ -67,11 +70,14 @@
         double ended = 0;
         bool written = true;
         for (int part = 0; part < kParts; ++part) {
-          written = write_all(client.fd, bytes.substr(bytes.size() * part / kParts, bytes.size() * (part + 1) / kParts - bytes.size() * part / kParts));
+          written = write_all(
+              client.fd, bytes.substr(bytes.size() * part / kParts,
+                                      bytes.size() * (part + 1) / kParts - bytes.size() * part / kParts));
           if (part + 1 == kParts || !written) break;
           for (const double until = now_ms() + kBetween; now_ms() < until; sleep_ms(2)) {
             pollfd item{client.fd, POLLRDHUP, 0};
-            if (!ended && poll(&item, 1, 0) == 1 && (item.revents & (POLLRDHUP | POLLHUP | POLLERR))) ended = now_ms();
+            if (!ended && poll(&item, 1, 0) == 1 && (item.revents & (POLLRDHUP | POLLHUP | POLLERR)))
+              ended = now_ms();
           }
         }
         const double last = now_ms();
@@ -86,7 +92,8 @@
           ++between;  // the front ended a resting connection; the request's first bytes crossed that
         } else if (read) {
           ++lost;
-          rec("LOST id=%s: first part %.0f ms after SIGTERM, end of the connection seen after %.0f ms more, last byte written %.0f ms after SIGTERM and read by the front, no answer (%s)",
+          rec("LOST id=%s: first part %.0f ms after SIGTERM, end of the connection seen after %.0f ms more, "
+              "last byte written %.0f ms after SIGTERM and read by the front, no answer (%s)",
               id.c_str(), first - stop_at, ended ? ended - first : -1.0, last - stop_at, word_of(reply.kind));
         } else {
           ++unread;  // the front may not have read the last part: not counted
@@ -101,11 +108,14 @@
     for (auto& thread : threads) thread.join();
     const double until = stop_at + 12000 + 700;  // the longest deadline and 0.7 s: SIGKILL not before
     while (trouble() && !front.ended() && now_ms() < until) sleep_ms(20);
-    rec("round %d: the front %s", round, trouble() ? front.pid > 0 ? "still runs" : "has ended by itself" : "runs on");
+    rec("round %d: the front %s", round,
+        trouble() ? front.pid > 0 ? "still runs" : "has ended by itself" : "runs on");
     front.stop(SIGKILL);
   }
-  rec("asked %ld served %ld refused or failed %ld lost %ld, not counted: between requests %ld not read %ld: %s", asked.load(),
-      served.load(), refused.load(), lost.load(), between.load(), unread.load(), lost > 0 ? "broken" : "held");
+  rec("asked %ld served %ld refused or failed %ld lost %ld, not counted: between requests %ld not read %ld: "
+      "%s",
+      asked.load(), served.load(), refused.load(), lost.load(), between.load(), unread.load(),
+      lost > 0 ? "broken" : "held");
   if (served == 0) cannot_run("no request was served");
   std::_Exit(lost > 0 ? 1 : 0);
 }
--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -1,5 +1,6 @@
-// Stand-ins for the cases of the second review: stores and clients that speak the platform's form of PostgreSQL's
-// protocol, a discovery agent, and the front as a child process. Plain POSIX sockets and one thread a connection.
+// Stand-ins for the cases of the second review: stores and clients that speak the platform's form of
+// PostgreSQL's protocol, a discovery agent, and the front as a child process. Plain POSIX sockets and one
+// thread a connection.
 #pragma once
 
 #include <arpa/inet.h>
@@ -140,7 +141,8 @@
 // ---- messages of the protocol ----
 
 inline std::string be32(uint32_t n) {
-  return {static_cast<char>(n >> 24), static_cast<char>(n >> 16), static_cast<char>(n >> 8), static_cast<char>(n)};
+  return {static_cast<char>(n >> 24), static_cast<char>(n >> 16), static_cast<char>(n >> 8),
+          static_cast<char>(n)};
 }
 inline std::string message(char type, const std::string& body) {
   return std::string(1, type) + be32(static_cast<uint32_t>(body.size() + 4)) + body;
@@ -151,8 +153,8 @@
   return message('S', z_string(name) + z_string(value));
 }
 inline std::string row_of(const std::string& value, const std::string& tag) {
-  const std::string column = z_string("v") + be32(0) + std::string("\0\0", 2) + be32(17) + std::string("\377\377", 2) +
-                             be32(0xffffffffU) + std::string("\0\1", 2);
+  const std::string column = z_string("v") + be32(0) + std::string("\0\0", 2) + be32(17) +
+                             std::string("\377\377", 2) + be32(0xffffffffU) + std::string("\0\1", 2);
   return message('T', std::string("\0\1", 2) + column) +
          message('D', std::string("\0\1", 2) + be32(static_cast<uint32_t>(value.size())) + value) +
          message('C', z_string(tag));
@@ -214,8 +216,8 @@
   std::snprintf(text, sizeof text, "%08x%08x", static_cast<unsigned>(getpid()), ++last);
   return text;
 }
-inline std::string select_text(const std::string& key, const std::string& id, const std::string& type, double d,
-                               int group, double after = 0) {
+inline std::string select_text(const std::string& key, const std::string& id, const std::string& type,
+                               double d, int group, double after = 0) {
   char tail[64] = "";
   if (after > 0) std::snprintf(tail, sizeof tail, ",after=%.0f", after);
   return "SELECT v FROM records WHERE k = '" + key + "' /* id=" + id + ",c=" + type +
@@ -223,8 +225,8 @@
 }
 inline std::string insert_text(const std::string& key, const std::string& hex, const std::string& id,
                                const std::string& type, double d, int group, const std::string& token = "") {
-  return "INSERT INTO records (k, v) VALUES ('" + key + "', '\\x" + hex + "') RETURNING v /* id=" + id + ",c=" + type +
-         ",d=" + std::to_string(static_cast<long>(d)) + (token.empty() ? "" : ",k=" + token) +
+  return "INSERT INTO records (k, v) VALUES ('" + key + "', '\\x" + hex + "') RETURNING v /* id=" + id +
+         ",c=" + type + ",d=" + std::to_string(static_cast<long>(d)) + (token.empty() ? "" : ",k=" + token) +
          ",cluster=" + std::to_string(group) + " */";
 }
 
@@ -384,8 +386,8 @@
     change(targets_);
     for (auto& [uid, target] : targets_) {
       const auto was = before.find(uid);
-      if (was == before.end() || was->second.state != target.state || was->second.endpoint != target.endpoint ||
-          was->second.boot_ms != target.boot_ms) {
+      if (was == before.end() || was->second.state != target.state ||
+          was->second.endpoint != target.endpoint || was->second.boot_ms != target.boot_ms) {
         target.changed = revision_;
       }
     }
@@ -399,15 +401,16 @@
 
  private:
   std::string list(long since, bool all) {
-    std::string text = "{\"rev\":" + std::to_string(revision_) + ",\"all\":" + (all ? "true" : "false") + ",\"targets\":[";
+    std::string text =
+        "{\"rev\":" + std::to_string(revision_) + ",\"all\":" + (all ? "true" : "false") + ",\"targets\":[";
     bool first = true;
     for (const auto& [uid, t] : targets_) {
       if (all ? t.state == "left" : t.changed <= since) continue;
       char boot[32];
       std::snprintf(boot, sizeof boot, "%.0f", t.boot_ms);
       text += std::string(first ? "" : ",") + "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + t.endpoint +
-              "\",\"az\":\"z\",\"model\":\"m\",\"pod_group\":" + std::to_string(t.group) + ",\"state\":\"" + t.state +
-              "\",\"capacity_hint\":1.0,\"boot_ms\":" + boot + "}";
+              "\",\"az\":\"z\",\"model\":\"m\",\"pod_group\":" + std::to_string(t.group) + ",\"state\":\"" +
+              t.state + "\",\"capacity_hint\":1.0,\"boot_ms\":" + boot + "}";
       first = false;
     }
     return text + "]}";
@@ -431,7 +434,8 @@
           const long since = std::atol(line.c_str() + since_at + 6);
           const std::size_t wait_at = line.find("timeout_ms=");
           const double wait = wait_at == std::string::npos ? 0 : std::atof(line.c_str() + wait_at + 11);
-          changed_.wait_for(lock, std::chrono::duration<double, std::milli>(wait), [&] { return revision_ > since; });
+          changed_.wait_for(lock, std::chrono::duration<double, std::milli>(wait),
+                            [&] { return revision_ > since; });
           body = list(since, false);
         }
       }
@@ -471,11 +475,11 @@
   std::string endpoint() const { return host + ":" + std::to_string(port); }
   std::string config_path() const { return folder + "/" + name + ".json"; }
   // `more`: further keys of the configuration, each with a comma behind it.
-  void write_config(const std::string& discovery, const std::string& settings, const std::string& more) const {
-    std::ofstream(config_path() + ".new") << "{\"name\":\"" << name << "\",\"listen\":\"" << endpoint()
-                                          << "\",\"discovery\":\"" << discovery
-                                          << "\",\"seed\":\"8c1f30d27a5be964\"," << more
-                                          << "\"settings\":" << settings << "}\n";
+  void write_config(const std::string& discovery, const std::string& settings,
+                    const std::string& more) const {
+    std::ofstream(config_path() + ".new")
+        << "{\"name\":\"" << name << "\",\"listen\":\"" << endpoint() << "\",\"discovery\":\"" << discovery
+        << "\",\"seed\":\"8c1f30d27a5be964\"," << more << "\"settings\":" << settings << "}\n";
     std::rename((config_path() + ".new").c_str(), config_path().c_str());
   }
   void start(const std::string& discovery) {
@@ -619,8 +623,8 @@
   cannot_run("the front was not ready in time");
 }
 
-// Bytes of this connection that the kernel holds for the front and that the front has not read; -1 if the front's
-// end of the connection is gone. Seen from outside, in the kernel's own table.
+// Bytes of this connection that the kernel holds for the front and that the front has not read; -1 if the
+// front's end of the connection is gone. Seen from outside, in the kernel's own table.
 inline long unread_by_front(const Client& client, const Front& front) {
   sockaddr_in own{};
   socklen_t size = sizeof own;
@@ -628,7 +632,8 @@
   const sockaddr_in far = address_of(front.host, front.port);
   char local[32], remote[32];
   std::snprintf(local, sizeof local, "%08X:%04X", far.sin_addr.s_addr, static_cast<unsigned>(front.port));
-  std::snprintf(remote, sizeof remote, "%08X:%04X", own.sin_addr.s_addr, static_cast<unsigned>(ntohs(own.sin_port)));
+  std::snprintf(remote, sizeof remote, "%08X:%04X", own.sin_addr.s_addr,
+                static_cast<unsigned>(ntohs(own.sin_port)));
   std::ifstream table("/proc/net/tcp");
   std::string line;
   std::getline(table, line);
@@ -642,8 +647,8 @@
   }
   return -1;
 }
-// True if the front has read all that the client has written: within the time, nothing of it is left unread in the
-// kernel while the front's end of the connection still exists.
+// True if the front has read all that the client has written: within the time, nothing of it is left unread
+// in the kernel while the front's end of the connection still exists.
 inline bool read_whole_by_front(const Client& client, const Front& front, double limit_ms) {
   for (const double until = now_ms() + limit_ms; now_ms() < until; sleep_ms(5)) {
     const long unread = unread_by_front(client, front);
@@ -665,7 +670,8 @@
   const char* tokens = "client";
   bool positions = true;
   const char* discovery = "push";
-  double grace_ms = 500, warm_ms = 14000, cold_from = 0.15, fall_multiple = 2, fall_ms = 3000, connect_ms = 250;
+  double grace_ms = 500, warm_ms = 14000, cold_from = 0.15, fall_multiple = 2, fall_ms = 3000,
+         connect_ms = 250;
   int attempts = 6, instances = 1;
   bool second_copies = true, only_draining_binds = false, probes = true, cancel = true;
   double zero_ms = 0;
@@ -675,8 +681,10 @@
   o.precision(17);
   const auto ns = [](double ms) { return static_cast<long long>(ms * 1e6); };
   o << "{\"az\":0,\"ceilings\":{\"cancel\":" << (s.cancel ? "true" : "false")
-    << ",\"connIdle\":30000000000,\"connectTimeout\":" << ns(s.connect_ms) << ",\"maxAttempts\":" << s.attempts
-    << ",\"maxOpen\":36571,\"maxRetryAfter\":1000000000,\"mayTell\":false,\"probes\":" << (s.probes ? "true" : "false")
+    << ",\"connIdle\":30000000000,\"connectTimeout\":" << ns(s.connect_ms)
+    << ",\"maxAttempts\":" << s.attempts
+    << ",\"maxOpen\":36571,\"maxRetryAfter\":1000000000,\"mayTell\":false,\"probes\":"
+    << (s.probes ? "true" : "false")
     << ",\"retryAfter\":true,\"secondCopies\":" << (s.second_copies ? "true" : "false")
     << ",\"streamsPerConn\":1},\"clients\":{\"marksRetry\":true},\"countedBy\":\"request\",\"discovery\":\""
     << s.discovery << "\",\"familyInfo\":{\"behind\":\"" << s.behind
@@ -687,18 +695,21 @@
   o << "],\"positionZero\":0,\"positions\":" << (s.positions ? "true" : "false")
     << ",\"roleListed\":\"silent\",\"tokens\":\"" << s.tokens
     << "\",\"wait\":50000000},\"kindOfService\":\"replicas\",\"nInstances\":" << s.instances
-    << ",\"quantum\":5000000,\"rank\":0,\"report\":{\"how\":\"pull\",\"names\":[\"x0\",\"x1\",\"cpu\"]},\"requestClasses\":[";
+    << ",\"quantum\":5000000,\"rank\":0,\"report\":{\"how\":\"pull\",\"names\":[\"x0\",\"x1\",\"cpu\"]},"
+       "\"requestClasses\":[";
   for (std::size_t i = 0; i < s.classes.size(); ++i) {
     const ClassSpec& c = s.classes[i];
-    o << (i ? "," : "") << "{\"name\":\"" << c.name << "\",\"effect\":\"" << c.effect << "\",\"goalTime\":"
-      << ns(c.target_ms) << ",\"deadline\":" << ns(c.deadline_ms) << ",\"dedupWindow\":" << ns(c.window_ms)
+    o << (i ? "," : "") << "{\"name\":\"" << c.name << "\",\"effect\":\"" << c.effect
+      << "\",\"goalTime\":" << ns(c.target_ms) << ",\"deadline\":" << ns(c.deadline_ms)
+      << ",\"dedupWindow\":" << ns(c.window_ms)
       << ",\"keyScope\":\"cell\",\"importance\":1.0,\"lateValue\":" << c.late << ",\"stream\":false}";
   }
   o << "],\"rules\":{\"askWithin\":10000000000,\"coldFrom\":" << s.cold_from << ",\"fall\":" << ns(s.fall_ms)
-    << ",\"fallMultiple\":" << s.fall_multiple << ",\"graceToAnswer\":20000000,\"stopSendingWithin\":" << ns(s.grace_ms)
-    << ",\"warmWithin\":" << ns(s.warm_ms)
-    << (s.only_draining_binds ? ",\"droppedStayOpen\":true" : "")
-    << "},\"shapes\":[\"m\"],\"tenants\":[],\"tier\":0,\"tiers\":[\"db\"],\"weights\":\"nominal\",\"zones\":[\"z\"]}";
+    << ",\"fallMultiple\":" << s.fall_multiple
+    << ",\"graceToAnswer\":20000000,\"stopSendingWithin\":" << ns(s.grace_ms)
+    << ",\"warmWithin\":" << ns(s.warm_ms) << (s.only_draining_binds ? ",\"droppedStayOpen\":true" : "")
+    << "},\"shapes\":[\"m\"],\"tenants\":[],\"tier\":0,\"tiers\":[\"db\"],\"weights\":\"nominal\",\"zones\":["
+       "\"z\"]}";
   return o.str();
 }
 
