Memory: what peers make the process hold is charged with its storage until it is released

Seen by callers: 40 clients with 200 reads of 64 KiB at once took the process to 206,448 kB at memory_mb 64, where the platform ends it with all that it has taken.

Cause: a reply that found no room in its budget was replaced by assigning a short error to its string, which keeps the old storage: 64 KiB for each of 64 commands of each connection, charged to nobody. Same class: charges by length where the storage was twice that; rows being read, replies being written and the copy of the query on each server connection charged to nobody; texts held on by attempts after their request; records of requests and commands.

Change: net::ChargedText and net::MemoryCharge carry the charge and release it where they end. A reply goes from the response to the socket without a copy, a statement is written to the server from the request's own text. Rows have a budget of their own (1/16; without room 53200), each request is charged 2 KiB besides its text, each command 512 bytes.

--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -46,7 +46,7 @@
       subscriptions_(options_.streams, options_.name, epoch_),
       server_connections_(
           io_, timers_, clock_, log_, options_.config, [](RequestId, AttemptNumber) { return false; },
-          [](AttemptCompleted, std::string) {},
+          [](AttemptCompleted, std::optional<net::ChargedText>) {},
           [this](ProbeCompleted result) {
             router_->enqueue(std::move(result));
             work_pending_ = router_pending_ = true;
--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -1,4 +1,4 @@
-// The read buffer of a connection, and the memory budget that the buffers of many connections share.
+// The read buffer of a connection.
 #pragma once
 
 #include <algorithm>
@@ -8,25 +8,9 @@
 #include <string_view>
 #include <vector>
 
-namespace reedspindle::net {
-
-// Limits the bytes that several owners hold together. Each owner releases what it has taken.
-class MemoryBudget {
- public:
-  explicit MemoryBudget(std::size_t bytes) : left_(bytes) {}
-  // Takes `bytes` from the budget. Returns false, and takes nothing, if fewer bytes are left.
-  [[nodiscard]] bool take(std::size_t bytes) {
-    if (bytes > left_) {
-      return false;
-    }
-    left_ -= bytes;
-    return true;
-  }
-  void release(std::size_t bytes) { left_ += bytes; }
+#include "net/memory_budget.hpp"
 
- private:
-  std::size_t left_;
-};
+namespace reedspindle::net {
 
 // A contiguous buffer that grows as needed and is compacted in place. Its size is taken from the budget,
 // which has to outlive it. While its peer sends nothing, a buffer should hold no more of the budget than its
--- a/src/postgres/codec.cpp
+++ b/src/postgres/codec.cpp
@@ -269,10 +269,12 @@
   return statement;
 }
 
-std::string with_remaining_time(std::string_view text, TextSpan span, double remaining) {
-  std::string out(text.substr(0, span.at));
-  out += std::to_string(static_cast<long long>(std::max(1.0, std::ceil(remaining))));
-  return out.append(text.substr(span.at + span.size));
+QueryParts query_parts(std::string_view text, TextSpan span, double remaining) {
+  QueryParts parts{"Q", text.substr(0, span.at),
+                   std::to_string(static_cast<long long>(std::max(1.0, std::ceil(remaining))))};
+  parts.tail.append(text.substr(span.at + span.size)) += '\0';
+  put(parts.head, static_cast<std::uint32_t>(4 + parts.statement.size() + parts.tail.size()), 4);
+  return parts;
 }
 
 std::optional<ErrorFields> read_error(std::string_view body) {
--- a/src/postgres/codec.hpp
+++ b/src/postgres/codec.hpp
@@ -82,8 +82,15 @@
 [[nodiscard]] std::string first_word(std::string_view text);
 // Parses and validates a statement.
 [[nodiscard]] std::variant<Statement, Fault> read_statement(std::string_view text);
-// Returns the text with the remaining time at `span` replaced by `remaining`, in milliseconds, rounded up.
-[[nodiscard]] std::string with_remaining_time(std::string_view text, TextSpan span, double remaining);
+// The message of a query in three parts, so that a long statement is sent without being copied: the statement
+// up to its remaining time, with what stands before and after it.
+struct QueryParts {
+  std::string head;            // type and length
+  std::string_view statement;  // points into the text
+  std::string tail;            // the remaining time, the rest of the text, the terminator
+};
+// Encodes a query with the remaining time at `span` replaced by `remaining`, in milliseconds, rounded up.
+[[nodiscard]] QueryParts query_parts(std::string_view text, TextSpan span, double remaining);
 
 // Decode the bodies of messages from a server. They return none or false if the body is not valid.
 struct ErrorFields {
--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -117,7 +117,7 @@
   if (connection.state == State::lingering || connection.state == State::closed) {
     return;
   }
-  const bool mid_message = !connection.buffer.data().empty() && connection.replies.size() < kMaxPipelined;
+  const bool mid_message = !connection.buffer.data().empty() && may_owe_more(connection);
   const bool waits_for_client =
       connection.writing || (connection.accepts_commands() && (!connection.command_seen || mid_message));
   if (!waits_for_client) {
@@ -142,12 +142,17 @@
   close_with_error(connection, "57P05", "no whole command in time");
 }
 
+// Returns whether one more command may be handled before replies that are owed have been written.
+bool ClientConnections::may_owe_more(const ClientConnection& connection) {
+  return connection.replies.size() < kMaxPipelined && connection.replies.has_memory();
+}
+
 // Handles the buffered commands in order, up to kMaxPipelined at a time. After a command that is answered at
 // once, the rest is handled when its reply has been written, so that the commands of other clients are
 // handled between the commands of a client that sends many of them.
 void ClientConnections::handle_commands(ClientConnection& connection) {
   using State = ClientConnection::State;
-  while (connection.accepts_commands() && connection.replies.size() < kMaxPipelined) {
+  while (connection.accepts_commands() && may_owe_more(connection)) {
     if (!connection.reading && connection.buffer.data().size() >= kReadAheadBytes &&
         has_hung_up(connection)) {
       return handle_disconnect(connection);
@@ -282,7 +287,7 @@
                                postgres::ready_for_query());
 }
 
-void ClientConnections::answer(RequestId request, std::string bytes) {
+void ClientConnections::answer(RequestId request, net::ChargedText bytes) {
   const auto found = requests_.find(request);
   if (found == requests_.end()) {
     return;
@@ -293,7 +298,7 @@
   static const std::string kReplyTooLarge =
       postgres::error(postgres::Severity::error, "53200", "answers that wait behind others take too much") +
       postgres::ready_for_query();
-  connection.replies.complete(request, std::move(bytes) + postgres::ready_for_query(), kReplyTooLarge);
+  connection.replies.complete(request, std::move(bytes), kReplyTooLarge);
   flush(connection);
 }
 
@@ -309,7 +314,9 @@
     return;
   }
   owner_.request_abandoned(open.front());
-  answer(open.front(), postgres::error(postgres::Severity::error, "57014", "canceled on user request"));
+  answer(open.front(),
+         net::ChargedText(postgres::error(postgres::Severity::error, "57014", "canceled on user request") +
+                          postgres::ready_for_query()));
 }
 
 ClientConnections::CommandResult ClientConnections::reply(ClientConnection& connection, std::string bytes) {
@@ -328,10 +335,14 @@
     return;
   }
   connection.writing = true;
-  asio::async_write(connection.socket, asio::buffer(connection.out),
+  std::vector<asio::const_buffer> buffers;
+  for (const PendingReplies::Outgoing& reply : connection.out) {
+    buffers.push_back(asio::buffer(reply.bytes.text()));
+  }
+  asio::async_write(connection.socket, buffers,
                     [this, shared = *connection.list_position](const asio::error_code& error, std::size_t) {
                       shared->writing = false;
-                      shared->out = {};
+                      shared->out.clear();
                       if (shared->state == ClientConnection::State::closed) {
                         return;
                       }
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "net/buffer.hpp"
 #include "net/clock.hpp"
@@ -27,7 +28,7 @@
 
   ClientConnection(asio::ip::tcp::socket accepted, net::MemoryBudget& buffers,
                    net::MemoryBudget& reply_budget)
-      : socket(std::move(accepted)), buffer(buffers), replies(reply_budget) {}
+      : socket(std::move(accepted)), buffer(buffers), replies(reply_budget, reply_budget) {}
 
   [[nodiscard]] bool accepts_commands() const { return state == State::starting || state == State::open; }
   static State state_of(const std::shared_ptr<ClientConnection>& connection) { return connection->state; }
@@ -35,7 +36,7 @@
   asio::ip::tcp::socket socket;
   net::Buffer buffer;
   PendingReplies replies;
-  std::string out;  // the bytes being written
+  std::vector<PendingReplies::Outgoing> out;  // the replies being written
   State state = State::starting;
   bool writing = false;
   bool reading = false;
--- a/src/proxy/client_connections.hpp
+++ b/src/proxy/client_connections.hpp
@@ -43,9 +43,8 @@
   // Declares that this instance can serve requests. From then on it answers empty queries, which serve as
   // readiness checks.
   void set_ready();
-  // Sends the final answer of a request. `bytes` excludes ReadyForQuery. Has no effect if the client has
-  // disconnected.
-  void answer(RequestId request, std::string bytes);
+  // Sends the final answer of a request, up to ReadyForQuery. Has no effect if the client has disconnected.
+  void answer(RequestId request, net::ChargedText bytes);
   // Starts the graceful shutdown: connections are still accepted for a short time, then each is closed as
   // soon as it has no open request.
   void start_draining();
@@ -78,6 +77,7 @@
   void read_now(const ConnectionPtr& connection);
   void discard_now(const ConnectionPtr& connection);
   static bool has_hung_up(ClientConnection& connection);
+  static bool may_owe_more(const ClientConnection& connection);
   void update_deadline(ClientConnection& connection);
   void deadline_passed(ClientConnection& connection);
   void handle_commands(ClientConnection& connection);
@@ -102,7 +102,7 @@
   RequestOwner& owner_;
   asio::ip::tcp::acceptor acceptor_;
   net::MemoryBudget budget_;              // of the read buffers of all connections
-  net::MemoryBudget reply_budget_;        // of the replies that wait behind others
+  net::MemoryBudget reply_budget_;        // of the replies that wait behind others, and of their records
   std::list<ConnectionPtr> connections_;  // owns all connections
   std::size_t lingering_ = 0;             // number of lingering connections
   std::map<RequestId, ClientConnection*> requests_;
--- a/src/proxy/pending_replies.cpp
+++ b/src/proxy/pending_replies.cpp
@@ -6,31 +6,30 @@
 
 namespace reedspindle::proxy {
 
-PendingReplies::~PendingReplies() {
-  for (const Reply& reply : replies_) {
-    budget_.release(reply.charged);
-  }
+void PendingReplies::add(std::optional<RequestId> request, bool complete, std::string bytes) {
+  net::MemoryCharge record(records_);
+  // Without memory only the first command of a connection is added, which has_memory() allows for.
+  static_cast<void>(record.take(kRecordBytes));
+  replies_.push_back({request, complete, {net::ChargedText(std::move(bytes)), std::move(record)}});
 }
 
-void PendingReplies::add_complete(std::string bytes) {
-  replies_.push_back({.complete = true, .bytes = std::move(bytes)});
-}
+void PendingReplies::add_complete(std::string bytes) { add({}, true, std::move(bytes)); }
 
-void PendingReplies::add_request(RequestId request) { replies_.push_back({.request = request}); }
+void PendingReplies::add_request(RequestId request) { add(request, false, {}); }
 
-void PendingReplies::add_readiness() { replies_.push_back({}); }
+void PendingReplies::add_readiness() { add({}, false, {}); }
 
-void PendingReplies::complete(RequestId request, std::string bytes, const std::string& substitute) {
+void PendingReplies::complete(RequestId request, net::ChargedText bytes, const std::string& substitute) {
   for (Reply& reply : replies_) {
     if (reply.request != request) {
       continue;
     }
     reply.request.reset();
     reply.complete = true;
-    reply.bytes = std::move(bytes);
-    if (&reply != &replies_.front()) {
-      charge(reply, substitute);
-    }
+    const bool waits = &reply != &replies_.front();
+    // A new text: to assign to the old one would keep its storage.
+    reply.outgoing.bytes =
+        waits && !bytes.move_to(waiting_) ? net::ChargedText(substitute) : std::move(bytes);
     return;
   }
 }
@@ -41,28 +40,20 @@
       continue;
     }
     reply.complete = true;
-    reply.bytes = bytes;
-  }
-}
-
-void PendingReplies::charge(Reply& reply, const std::string& substitute) {
-  if (budget_.take(reply.bytes.size())) {
-    reply.charged = reply.bytes.size();
-  } else {
-    reply.bytes = substitute;
+    reply.outgoing.bytes = net::ChargedText(bytes);
   }
 }
 
-std::string PendingReplies::take_complete() {
-  std::string bytes;
-  // Replies that were taken no longer count against the budget. The limit on their bytes keeps the memory
-  // small that is held for a client that does not read.
-  while (!replies_.empty() && replies_.front().complete && bytes.size() < postgres::kMaxValueBytes) {
-    bytes += replies_.front().bytes;
-    budget_.release(replies_.front().charged);
+std::vector<PendingReplies::Outgoing> PendingReplies::take_complete() {
+  std::vector<Outgoing> taken;
+  // The limit on the bytes keeps the memory small that is held for a client that does not read.
+  std::size_t bytes = 0;
+  while (!replies_.empty() && replies_.front().complete && bytes < postgres::kMaxValueBytes) {
+    taken.push_back(std::move(replies_.front().outgoing));
+    bytes += taken.back().bytes.text().size();
     replies_.pop_front();
   }
-  return bytes;
+  return taken;
 }
 
 std::vector<RequestId> PendingReplies::open_requests() const {
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -21,8 +21,12 @@
 // Passed to the router, in milliseconds, instead of a token age of 0, which would mean that there is no
 // token.
 constexpr Millis kNonzeroTokenAge = 0.001;
-// The texts of all open requests together may use 1/kMemoryDivisor of the memory limit of the process.
+// All open requests together may use 1/kMemoryDivisor of the memory limit of the process.
 constexpr std::size_t kMemoryDivisor = 8;
+// What one open request takes up besides its text, in bytes: its records in all parts of the program.
+constexpr std::size_t kRequestRecordBytes = 2048;
+
+postgres::Fault too_many_open() { return {"53300", "too many ops are open"}; }
 }  // namespace
 
 ProxyServer::ProxyServer(config::Environment environment, const ProxyOptions& options)
@@ -39,11 +43,11 @@
       timers_(io_, clock_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       router_(make_router(config_.router_settings, config_.seed)),
-      text_budget_(config_.memory_bytes / kMemoryDivisor),
+      request_budget_(config_.memory_bytes / kMemoryDivisor),
       connection_pool_(
           io_, timers_, clock_, log_, config_,
           [this](RequestId request, AttemptNumber attempt) { return may_send(request, attempt); },
-          [this](AttemptCompleted completed, std::string row) {
+          [this](AttemptCompleted completed, std::optional<net::ChargedText> row) {
             handle_attempt_completed(std::move(completed), std::move(row));
           },
           [this](ProbeCompleted completed) { enqueue(std::move(completed)); }),
@@ -211,10 +215,8 @@
   });
 }
 
-// Returns the reason why the request can't be passed to the router. If there is none, the size of its text
-// has been taken from text_budget_.
-std::optional<postgres::Fault> ProxyServer::reject_reason(std::string_view text,
-                                                          const postgres::Statement& statement) {
+// Returns the reason why the request can't be passed to the router, memory aside.
+std::optional<postgres::Fault> ProxyServer::reject_reason(const postgres::Statement& statement) {
   const auto found_class = config_.names.request_classes.find(statement.request_class);
   if (found_class == config_.names.request_classes.end()) {
     return postgres::Fault{"22023", "c names no op type: " + std::string(statement.request_class)};
@@ -234,17 +236,22 @@
   if (open_ids_.contains(statement.id)) {
     return postgres::Fault{"22023", "id is that of an open op"};
   }
-  if (requests_.size() >= config_.max_open_requests || !text_budget_.take(text.size())) {
-    return postgres::Fault{"53300", "too many ops are open"};
+  if (requests_.size() >= config_.max_open_requests) {
+    return too_many_open();
   }
   return std::nullopt;
 }
 
 std::optional<postgres::Fault> ProxyServer::request_arrived(RequestId request, std::string_view text,
                                                             const postgres::Statement& statement) {
-  if (auto fault = reject_reason(text, statement)) {
+  if (auto fault = reject_reason(statement)) {
     return fault;
   }
+  net::MemoryCharge record(request_budget_);
+  auto kept_text = std::make_shared<net::ChargedText>(request_budget_);
+  if (!record.take(kRequestRecordBytes) || !kept_text->append(text)) {
+    return too_many_open();
+  }
   RequestReceived received;
   received.request = request;
   received.request_class = config_.names.request_classes.find(statement.request_class)->second.id;
@@ -257,20 +264,30 @@
   const Millis arrived = arrival_bound_.earliest(clock_.now());
   queued_events_.push_back({std::move(received), arrived, statement.position});
   router_run_needed_ = true;
-  requests_[request] = {std::make_shared<const std::string>(text), std::string(statement.id),
-                        statement.remaining_span, 0, arrived};
+  requests_[request] = {std::move(kept_text),
+                        std::move(record),
+                        std::string(statement.id),
+                        statement.remaining_span,
+                        0,
+                        arrived};
   open_ids_.emplace(statement.id);
   return std::nullopt;
 }
 
+net::ChargedText ProxyServer::error_answer(std::string_view code, std::string_view text,
+                                           std::string_view detail) {
+  return net::ChargedText(postgres::error(postgres::Severity::error, code, text, detail) +
+                          postgres::ready_for_query());
+}
+
 void ProxyServer::request_abandoned(RequestId request) {
   enqueue(RequestAbandoned{request});
-  complete_request(request, "", "abandoned by client");
+  complete_request(request, {}, "abandoned by client");
 }
 
 // This is the only function that removes a request from requests_. Attempts of the request that are still
 // queued are never sent.
-void ProxyServer::complete_request(RequestId request, std::string answer, std::string_view reason) {
+void ProxyServer::complete_request(RequestId request, net::ChargedText answer, std::string_view reason) {
   const auto found = requests_.find(request);
   if (found == requests_.end()) {
     return;
@@ -283,9 +300,8 @@
                 {"elapsed_ms", clock_.now() - found->second.arrived}});
   }
   open_ids_.erase(found->second.id);
-  text_budget_.release(found->second.text->size());
   requests_.erase(found);
-  if (!answer.empty()) {
+  if (!answer.text().empty()) {
     client_connections_.answer(request, std::move(answer));
   }
   connection_pool_.forget(request);
@@ -325,9 +341,12 @@
   return allowed;
 }
 
-void ProxyServer::handle_attempt_completed(AttemptCompleted completed, std::string row) {
-  if (completed.outcome == AttemptOutcome::acknowledged) {
-    complete_request(completed.request, std::move(row), "served");
+void ProxyServer::handle_attempt_completed(AttemptCompleted completed, std::optional<net::ChargedText> row) {
+  if (completed.outcome == AttemptOutcome::acknowledged && row && row->append(postgres::ready_for_query())) {
+    complete_request(completed.request, std::move(*row), "served");
+  } else if (completed.outcome == AttemptOutcome::acknowledged) {
+    complete_request(completed.request, error_answer("53200", "no memory for the answer"),
+                     "answer without memory");
   }
   completed.request_completed = !requests_.contains(completed.request);
   enqueue(std::move(completed));
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -38,9 +38,10 @@
  private:
   // A request that has no final answer yet.
   struct Request {
-    std::shared_ptr<const std::string> text;  // of the statement
-    std::string id;                           // chosen by the client
-    postgres::TextSpan remaining_span;        // the place in the text that states the client's remaining time
+    std::shared_ptr<const net::ChargedText> text;  // of the statement
+    net::MemoryCharge record;                      // of all that is kept besides the text
+    std::string id;                                // chosen by the client
+    postgres::TextSpan remaining_span;  // the place in the text that states the client's remaining time
     int attempts = 0;
     Millis arrived = 0;  // Unix time
   };
@@ -54,14 +55,17 @@
   std::optional<postgres::Fault> request_arrived(RequestId request, std::string_view text,
                                                  const postgres::Statement& statement) override;
   void request_abandoned(RequestId request) override;
-  [[nodiscard]] std::optional<postgres::Fault> reject_reason(std::string_view text,
-                                                             const postgres::Statement& statement);
+  [[nodiscard]] std::optional<postgres::Fault> reject_reason(const postgres::Statement& statement);
+  // Encodes an error up to ReadyForQuery.
+  static net::ChargedText error_answer(std::string_view code, std::string_view text,
+                                       std::string_view detail = "");
   void handle_endpoint_list(net::EndpointList list);
   bool may_send(RequestId request, AttemptNumber attempt);
-  void handle_attempt_completed(AttemptCompleted completed, std::string row);
+  void handle_attempt_completed(AttemptCompleted completed, std::optional<net::ChargedText> row);
   void handle_peer_message(int peer, std::string text);
-  // Ends the request and sends its answer, unless that is empty. The reason appears only in the log.
-  void complete_request(RequestId request, std::string answer, std::string_view reason);
+  // Ends the request and sends its answer, up to ReadyForQuery, unless that is empty. The reason appears only
+  // in the log.
+  void complete_request(RequestId request, net::ChargedText answer, std::string_view reason);
 
   void restore_endpoint_list();
   void run_turn();
@@ -107,7 +111,7 @@
   std::map<RequestId, Request> requests_;
   std::set<std::string, std::less<>> open_ids_;  // ids of the open requests, chosen by clients
   std::set<GroupId> groups_;                     // all groups in endpoint lists so far
-  net::MemoryBudget text_budget_;                // of the texts of the open requests
+  net::MemoryBudget request_budget_;             // of the open requests and their texts
   upstream::ConnectionPool connection_pool_;
   ClientConnections client_connections_;
   discovery::Client discovery_client_;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -9,8 +9,10 @@
 
 namespace reedspindle::upstream {
 namespace {
-// Read buffers of server connections may use one part in kMemoryDivisor of the memory.
-constexpr std::size_t kMemoryDivisor = 8;
+// Read buffers of server connections may use one part in kBufferDivisor of the memory, and the rows of
+// responses, until their clients have them, one part in kResponseDivisor.
+constexpr std::size_t kBufferDivisor = 8;
+constexpr std::size_t kResponseDivisor = 16;
 // Servers close a connection that has been idle for the configured time. The pool closes it a tenth of that
 // time earlier, so that no attempt is sent on a connection that the server is closing. It checks twice within
 // that tenth, so that no connection is missed.
@@ -29,7 +31,8 @@
       may_send_(std::move(may_send)),
       attempt_done_(std::move(attempt_done)),
       probe_done_(std::move(probe_done)),
-      budget_(config.memory_bytes / kMemoryDivisor) {
+      budget_(config.memory_bytes / kBufferDivisor),
+      response_budget_(config.memory_bytes / kResponseDivisor) {
   close_expired_idle();
 }
 
@@ -89,9 +92,9 @@
 }
 
 void ConnectionPool::start_attempt(RequestId request, const StartAttempt& decision, Millis decided,
-                                   AttemptNumber number, std::shared_ptr<const std::string> text,
+                                   AttemptNumber number, std::shared_ptr<const net::ChargedText> text,
                                    postgres::TextSpan remaining) {
-  auto call = std::make_unique<PendingCall>();
+  auto call = std::make_unique<PendingCall>(response_budget_);
   call->attempt = {request, number};
   call->text = std::move(text);
   call->remaining_span = remaining;
@@ -100,7 +103,7 @@
 }
 
 void ConnectionPool::probe(const ServerId& server, Millis timeout) {
-  enqueue(*servers_.at(server), std::make_unique<PendingCall>(), clock_.now(), timeout);
+  enqueue(*servers_.at(server), std::make_unique<PendingCall>(response_budget_), clock_.now(), timeout);
 }
 
 void ConnectionPool::cancel_attempt(RequestId request, AttemptNumber number) {
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -16,6 +16,7 @@
 #include "net/buffer.hpp"
 #include "net/clock.hpp"
 #include "net/endpoint_list.hpp"
+#include "net/memory_budget.hpp"
 #include "postgres/codec.hpp"
 
 namespace reedspindle::upstream {
@@ -30,8 +31,9 @@
 class ConnectionPool {
  public:
   // Reports how an attempt ended. If it was acknowledged, `row` holds the server's messages from
-  // RowDescription up to CommandComplete.
-  using AttemptDone = std::function<void(AttemptCompleted, std::string row)>;
+  // RowDescription up to CommandComplete, with space for a ReadyForQuery; it is none if there was no memory
+  // to keep them.
+  using AttemptDone = std::function<void(AttemptCompleted, std::optional<net::ChargedText> row)>;
   // Returns whether an attempt may still be sent. Asked right before its first byte is written.
   using MaySend = std::function<bool(RequestId, AttemptNumber)>;
   // Reports how a probe ended.
@@ -50,7 +52,7 @@
   // Queues one attempt. The decision's times count from `decided`, in Unix milliseconds. `remaining` is the
   // place in the text that states the client's remaining time; it is updated when the query is sent.
   void start_attempt(RequestId request, const StartAttempt& decision, Millis decided, AttemptNumber number,
-                     std::shared_ptr<const std::string> text, postgres::TextSpan remaining);
+                     std::shared_ptr<const net::ChargedText> text, postgres::TextSpan remaining);
   // Ends an attempt early. Has no effect if the attempt has ended already.
   void cancel_attempt(RequestId request, AttemptNumber number);
   // Ends the attempts of a request that are still queued: they are never sent. To be called when the request
@@ -133,7 +135,8 @@
   const MaySend may_send_;
   const AttemptDone attempt_done_;
   const ProbeDone probe_done_;
-  net::MemoryBudget budget_;  // of the read buffers of all connections
+  net::MemoryBudget budget_;           // of the read buffers of all connections
+  net::MemoryBudget response_budget_;  // of the rows of the responses
   std::map<ServerId, std::unique_ptr<ServerPool>> servers_;
   std::list<ConnectionPtr> connections_;  // owns all connections
   std::list<ServerConnection*> idle_;     // of all servers, the longest idle first
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -54,9 +54,9 @@
   asio::error_code ignored;  // if the server has closed the connection, the read reports it
   connection->socket.set_option(Tcp::no_delay(true), ignored);
   connection->socket.non_blocking(true, ignored);
-  connection->out = postgres::startup(kUser, kDatabase);
-  asio::async_write(connection->socket, asio::buffer(connection->out),
-                    [](const asio::error_code&, std::size_t) {});  // the read reports a failure
+  connection->out.set(postgres::startup(kUser, kDatabase));
+  asio::async_write(connection->socket, connection->out.after(0),
+                    [connection](const asio::error_code&, std::size_t) {});  // the read reports a failure
   read(connection);
 }
 
@@ -80,29 +80,33 @@
   call->connection = &connection;
   timers_.cancel(call->timer);
   call->timer = timers_.set(call->deadline, [this, late = call.get()] { call_timed_out(*late); });
-  connection.out = postgres::query(
-      call->attempt ? postgres::with_remaining_time(*call->text, call->remaining_span, call->deadline - now)
-                    : kProbeQuery);
+  if (call->attempt) {
+    connection.out.set(std::move(call->text), call->remaining_span, call->deadline - now);
+  } else {
+    connection.out.set(postgres::query(kProbeQuery));
+  }
   connection.call = std::move(call);
   asio::error_code error;
-  const std::size_t count = connection.socket.write_some(asio::buffer(connection.out), error);
+  const std::size_t count = connection.socket.write_some(connection.out.after(0), error);
   connection.query_sent = count == connection.out.size();
   if (error && error != asio::error::would_block) {
     return handle_disconnect(connection);
   }
   if (!connection.query_sent) {
-    write_rest(connection, count);
+    return write_rest(connection, count);
   }
+  connection.out.clear();
 }
 
 void ConnectionPool::write_rest(ServerConnection& connection, std::size_t written) {
-  asio::async_write(connection.socket, asio::buffer(connection.out) + written,
+  asio::async_write(connection.socket, connection.out.after(written),
                     [this, call = connection.call.get(), shared = *connection.list_position](
                         const asio::error_code& error, std::size_t) {
                       if (shared->call.get() != call) {
                         return;
                       }
                       shared->query_sent = !error;
+                      shared->out.clear();
                       if (error) {
                         handle_disconnect(*shared);
                       }
@@ -279,11 +283,11 @@
   connection.state = ServerConnection::State::resetting;
   ++connection.server.becoming_ready;
   connection.reset_answered = false;
-  connection.out = postgres::query("");
+  connection.out.set(postgres::query(""));
   const ConnectionPtr shared = *connection.list_position;
   connection.timer =
       timers_.set(clock_.now() + config_.connect_timeout, [this, shared] { reset_timed_out(shared); });
-  asio::async_write(connection.socket, asio::buffer(connection.out),
+  asio::async_write(connection.socket, connection.out.after(0),
                     [shared](const asio::error_code&, std::size_t) {});  // the read reports a failure
 }
 
--- a/src/upstream/server_connection.hpp
+++ b/src/upstream/server_connection.hpp
@@ -13,7 +13,9 @@
 #include "core/types.hpp"
 #include "net/buffer.hpp"
 #include "net/clock.hpp"
+#include "net/memory_budget.hpp"
 #include "postgres/codec.hpp"
+#include "upstream/outgoing_message.hpp"
 #include "upstream/server_response.hpp"
 
 namespace reedspindle::upstream {
@@ -23,15 +25,17 @@
 
 // One attempt or one probe. Owned by its server's queue until it is sent, then by the connection.
 struct PendingCall {
+  explicit PendingCall(net::MemoryBudget& responses) : response(responses) {}
+
   std::optional<std::pair<RequestId, AttemptNumber>> attempt;  // none: a probe
   ServerPool* server = nullptr;
-  std::shared_ptr<const std::string> text;  // of the statement; null for a probe
-  postgres::TextSpan remaining_span;        // the place in the text that states the client's remaining time
-  Millis started = 0;                       // Unix time from which the reported duration counts
-  Millis deadline = 0;                      // Unix time at which it times out
-  Millis start_by = 0;                      // Unix time after which it is not sent
-  net::Timers::Handle timer;                // expires at start_by while queued, then at deadline
-  ServerConnection* connection = nullptr;   // null while it is queued
+  std::shared_ptr<const net::ChargedText> text;  // of the statement; null for a probe, and once it is sent
+  postgres::TextSpan remaining_span;       // the place in the text that states the client's remaining time
+  Millis started = 0;                      // Unix time from which the reported duration counts
+  Millis deadline = 0;                     // Unix time at which it times out
+  Millis start_by = 0;                     // Unix time after which it is not sent
+  net::Timers::Handle timer;               // expires at start_by while queued, then at deadline
+  ServerConnection* connection = nullptr;  // null while it is queued
   ServerResponse response;
 };
 
@@ -58,7 +62,7 @@
   asio::ip::tcp::socket socket;
   ServerPool& server;
   net::Buffer buffer;
-  std::string out;  // the bytes being written
+  OutgoingMessage out;
   State state = State::opening;
   Millis opened = 0;                                     // Unix time
   Millis last_read = 0;                                  // Unix time
--- a/src/upstream/server_response.cpp
+++ b/src/upstream/server_response.cpp
@@ -10,6 +10,8 @@
 // rounding error, which is less than this many milliseconds.
 constexpr Millis kPositionRounding = 10;
 constexpr Millis kMillisPerSecond = 1000;
+// CommandComplete and ReadyForQuery at their longest, in bytes.
+constexpr std::size_t kBytesAfterRow = 128;
 
 bool is_valid_position(Millis position, Millis now) {
   return position >= 0 && position < now + kPositionRounding;
@@ -95,7 +97,7 @@
     return false;
   }
   described_ = true;
-  row_ += message.bytes;
+  keep(message);
   return true;
 }
 
@@ -107,8 +109,9 @@
   has_row_ = true;
   if (is_probe) {
     read_load_report(*value, now, report_);
+  } else {
+    keep(message, kBytesAfterRow);
   }
-  row_ += message.bytes;
   return true;
 }
 
@@ -117,7 +120,7 @@
     return false;
   }
   complete_ = true;
-  row_ += message.bytes;
+  keep(message);
   return true;
 }
 
@@ -129,6 +132,12 @@
   return true;
 }
 
+void ServerResponse::keep(const postgres::Message& message, std::size_t more) {
+  if (row_ && !row_->append(message.bytes, more)) {
+    row_.reset();
+  }
+}
+
 void ServerResponse::mark_unreadable() {
   sample_ = {};
   report_ = {};
--- a/src/upstream/server_response.hpp
+++ b/src/upstream/server_response.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/types.hpp"
+#include "net/memory_budget.hpp"
 #include "postgres/codec.hpp"
 
 namespace reedspindle::upstream {
@@ -16,11 +17,14 @@
 // message is valid and allowed at this point; if it is not, the response is unchanged.
 class ServerResponse {
  public:
+  // The row is charged to the budget, which has to outlive the response and the row.
+  explicit ServerResponse(net::MemoryBudget& budget) : row_(net::ChargedText(budget)) {}
+
   // Takes role, position or load report from a ParameterStatus message. A value that can't be parsed is
   // ignored. The parameters may come in any order. `now` is in Unix milliseconds.
   void read_parameter(const postgres::Message& message, Millis now);
   bool read_row_description(const postgres::Message& message);
-  // The row of a probe holds a load report.
+  // The row of a probe holds a load report, and is not kept.
   bool read_data_row(const postgres::Message& message, Millis now, bool is_probe);
   bool read_command_complete(const postgres::Message& message);
   bool read_error(const std::string& code);
@@ -37,13 +41,17 @@
   [[nodiscard]] const ReplicaSample& sample() const { return sample_; }
   // Returns the role, position and load of the load report, which is older than the answer.
   [[nodiscard]] const ReplicaSample& report() const { return report_; }
-  // Returns the server's messages, unchanged, from RowDescription up to CommandComplete.
-  [[nodiscard]] std::string take_row() { return std::move(row_); }
+  // Returns the server's messages, unchanged, from RowDescription up to CommandComplete, with space for a
+  // ReadyForQuery. None if there was no memory to keep them.
+  [[nodiscard]] std::optional<net::ChargedText> take_row() { return std::move(row_); }
 
  private:
+  // Appends a message to the row.
+  void keep(const postgres::Message& message, std::size_t more = 0);
+
   ReplicaSample sample_;
   ReplicaSample report_;
-  std::string row_;
+  std::optional<net::ChargedText> row_;    // none: there was no memory to keep it
   std::optional<std::string> error_code_;  // SQLSTATE
   bool described_ = false;                 // RowDescription has been received
   bool has_row_ = false;                   // DataRow has been received
--- a/tests/codecs.cpp
+++ b/tests/codecs.cpp
@@ -27,7 +27,10 @@
   std::cout << "  id " << at.id << ", request class " << at.request_class << ", key " << at.key
             << ", remaining_ms " << at.remaining << ", group " << at.group << ", position "
             << std::to_string(at.position) << (at.is_retry ? ", retry" : "") << '\n';
-  std::cout << "  " << postgres::with_remaining_time(text, at.remaining_span, 7.2) << '\n';
+  const postgres::QueryParts parts = postgres::query_parts(text, at.remaining_span, 7.2);
+  const std::string query = parts.head + std::string(parts.statement) + parts.tail;
+  const auto message = std::get<postgres::Message>(postgres::read_from_client(query));
+  std::cout << "  " << message.body.substr(0, message.body.size() - 1) << '\n';
 }
 
 void endpoint_list(const std::string& text) {
--- a/tests/digests/postgres.cpp
+++ b/tests/digests/postgres.cpp
@@ -175,8 +175,11 @@
                             statement.position, statement.token, statement.is_retry,
                             statement.remaining_span.at, statement.remaining_span.size));
     const int remaining = random_.below(90000);
-    digest_.add(
-        digests::hex(postgres::with_remaining_time(text, statement.remaining_span, 0.25 * remaining)));
+    const postgres::QueryParts parts =
+        postgres::query_parts(text, statement.remaining_span, 0.25 * remaining);
+    const std::string query = parts.head + std::string(parts.statement) + parts.tail;
+    const auto message = std::get<postgres::Message>(postgres::read_from_client(query));
+    digest_.add(digests::hex(message.body.substr(0, message.body.size() - 1)));
     const auto [name, value] = postgres::name_and_value(std::string_view(text).substr(text.rfind(',') + 1));
     digest_.add(fmt::format("{} / {}", digests::hex(name), digests::hex(value)));
     const int integer = random_.below(100);
@@ -187,7 +190,8 @@
 
   void check_pending_replies() {
     MemoryBudget budget(3000);
-    proxy::PendingReplies pending(budget);
+    MemoryBudget ample(1 << 30);  // for replies that are not queued yet, and for the records
+    proxy::PendingReplies pending(budget, ample);
     std::uint64_t last_request = 0;
     for (int number = 0; number < kReplyCommands; ++number) {
       const int kind = random_.below(8);
@@ -212,10 +216,18 @@
           request = open.front();
         }
         const auto size = static_cast<std::size_t>(random_.below(1500));
-        pending.complete(request, std::string(size, 'x') + fmt::format("{}", number), "instead");
+        net::ChargedText bytes(ample);
+        if (!bytes.append(std::string(size, 'x') + fmt::format("{}", number))) {
+          return;
+        }
+        pending.complete(request, std::move(bytes), "instead");
       }
       if (random_.one_in(2)) {
-        digest_.add(digests::hex(pending.take_complete()));
+        std::string taken;
+        for (const proxy::PendingReplies::Outgoing& reply : pending.take_complete()) {
+          taken += reply.bytes.text();
+        }
+        digest_.add(digests::hex(taken));
       }
       digest_.add(fmt::format("{} {}", pending.size(), pending.empty()));
       for (const RequestId& open : pending.open_requests()) {
--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -30,11 +30,12 @@
 #include <variant>
 #include <vector>
 
-#include "postgres/codec.hpp"
+#include "proxy_test/crowd.hpp"
+#include "proxy_test/peers.hpp"
 
 namespace {
 using Json = nlohmann::json;
-namespace postgres = reedspindle::postgres;
+using namespace proxy_test;
 
 const char* const kPlacement = R"({"name": "n0", "seed": "5", "limits": {"sockets": 1024}, "settings": {
   "nInstances": 1, "quantum": 5000000,
@@ -48,128 +49,6 @@
      "dedupWindow": 9000000000},
     {"name": "mine", "deadline": 9000000000, "goalTime": 9000000000, "effect": "repeatable"}]}})";
 
-struct Connection {
-  int fd = -1;
-  std::string received;  // bytes read and not yet consumed
-  // startup_sent: the client side has sent its startup message; startup_done: the server side has completed
-  // the startup.
-  bool startup_sent = false, closed = false, startup_done = false;
-  std::string pending_query;       // query from the proxy that has not been answered
-  std::string cancel_key = {};     // process ID and secret key that a cancel request names
-  bool drop_on_next_read = false;  // the server closes it as soon as bytes arrive
-};
-
-struct TestServer {
-  std::string address;
-  int listener = -1;
-  std::string startup_mode = "accepts", vitals;
-  // Bytes sent with the next response to an empty query, in the same TCP segment.
-  std::string after_empty_response;
-  std::deque<Connection> connections;
-  std::deque<std::string> received_queries;
-};
-
-[[noreturn]] void fail(const std::string& reason) {
-  std::cout << "  gave up: " << reason << std::endl;
-  std::exit(1);
-}
-
-sockaddr_in address_of(const std::string& text) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  const std::size_t colon = text.find(':');
-  inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr);
-  address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1))));
-  return address;
-}
-
-// Listens at an address that only this process uses, on a free port, which is written back to `text`.
-int listen_at(std::string& text) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address = address_of(text);
-  socklen_t size = sizeof address;
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || listen(fd, 64) != 0) {
-    fail("cannot bind a port");
-  }
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  text = text.substr(0, text.find(':') + 1) + std::to_string(ntohs(address.sin_port));
-  return fd;
-}
-
-void write_all(int fd, const std::string& bytes) {
-  std::size_t done = 0;
-  while (done < bytes.size()) {
-    const ssize_t count = write(fd, bytes.data() + done, bytes.size() - done);
-    if (count <= 0) {
-      return;
-    }
-    done += static_cast<std::size_t>(count);
-  }
-}
-
-// Reads the available bytes. Returns false if the peer has closed the connection.
-bool read_available(Connection& connection) {
-  char bytes[65536];
-  const ssize_t count = read(connection.fd, bytes, sizeof bytes);
-  if (count <= 0) {
-    return false;
-  }
-  connection.received.append(bytes, static_cast<std::size_t>(count));
-  return true;
-}
-
-std::string encode_message(char type, std::string body) {
-  const std::size_t length = body.size() + 4;
-  std::string out(1, type);
-  for (int shift = 24; shift >= 0; shift -= 8) {
-    out += static_cast<char>(length >> shift & 0xff);
-  }
-  return out + body;
-}
-
-std::string row_response(const std::string& value) {
-  using namespace std::string_literals;
-  const auto size = static_cast<char>(value.size());
-  return encode_message('T', "\0\1v\0"s + std::string(18, '\0')) +
-         encode_message('D', "\0\1\0\0\0"s + size + value) + encode_message('C', "SELECT 1\0"s);
-}
-
-// The beginning of a response whose value has 64 KiB.
-std::string partial_row_response(std::size_t bytes) {
-  using namespace std::string_literals;
-  constexpr std::size_t kValueBytes = 65536;
-  return (encode_message('T', "\0\1v\0"s + std::string(18, '\0')) +
-          encode_message('D', "\0\1\0\1\0\0"s + std::string(kValueBytes, 'v')))
-      .substr(0, bytes);
-}
-
-// An INSERT with a value of 64 KiB, the longest of the protocol, in the place of LONG.
-std::string with_long_value(std::string text) {
-  return text.replace(text.find("LONG"), 4, std::string(131072, 'f'));
-}
-
-std::string unescaped(const std::string& text) {  // replaces "\x00" and other hexadecimal escapes
-  std::string out;
-  for (std::size_t at = 0; at < text.size(); ++at) {
-    if (text.compare(at, 2, "\\x") == 0) {
-      out += static_cast<char>(std::stoi(text.substr(at + 2, 2), nullptr, 16));
-      at += 3;
-    } else {
-      out += text[at];
-    }
-  }
-  return out;
-}
-
-// Reads the next message from the proxy. EmptyQueryResponse (I) is not among the messages that
-// read_from_server accepts.
-postgres::ReadResult read_from_proxy(std::string_view received) {
-  return received.starts_with("I") && received.size() >= 5 ? postgres::Message{'I', "", received.substr(0, 5)}
-                                                           : postgres::read_from_server(received);
-}
-
 class ProxyTest {
  public:
   explicit ProxyTest(std::string program) : program_(std::move(program)), config_(Json::parse(kPlacement)) {
@@ -245,6 +124,11 @@
       stop_clients_in_mid_message(line);
     } else if (subject == "servers-stop") {
       stop_servers_in_mid_response(line);
+    } else if (subject == "crowd") {
+      line >> verb;
+      crowd_.run(verb, line);
+    } else if (subject == "memory-within-limit") {
+      check_memory();
     } else if (subject == "any-server-responds") {
       line >> rest;
       write_all(connection_with_query(rest).fd, row_response(remainder(line)) + postgres::ready_for_query());
@@ -394,6 +278,22 @@
     return log_;
   }
 
+  // Prints whether the memory that the process holds for itself is within the configured limit. The
+  // sanitizers' own memory is not the program's: under them it is not measured.
+  void check_memory() {
+    long held_kb = 0;
+#ifndef __SANITIZE_ADDRESS__
+    std::ifstream status(fmt::format("/proc/{}/status", child_));
+    for (std::string name; status >> name;) {
+      if (name == "RssAnon:") {
+        status >> held_kb;
+      }
+    }
+#endif
+    const long limit_kb = config_["limits"]["memory_mb"].get<long>() * 1024;
+    std::cout << (held_kb <= limit_kb ? "  true\n" : fmt::format("  but it holds {} kB\n", held_kb));
+  }
+
   // Serves the connections of the test servers until the condition holds.
   void wait_for(const std::string& description, const std::function<bool()>& condition) {
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(30);
@@ -406,6 +306,7 @@
       if (std::chrono::steady_clock::now() > deadline) {
         fail("waited for " + description);
       }
+      crowd_.read_replies();
       poll_once();
     }
   }
@@ -1125,6 +1026,10 @@
   std::map<std::string, TestServer> servers_;
   std::map<std::string, Json> endpoints_;
   std::map<std::string, Connection> clients_;
+  Crowd crowd_{servers_, [this] { return connect_to(proxy_address_); },
+               [this](const std::string& description, const std::function<bool()>& condition) {
+                 wait_for(description, condition);
+               }};
 };
 }  // namespace
 
