A command that has been begun is a state of its own, which no path ends without an answer

Seen by callers: where silent clients crowd the proxy, 735 of 843 slowly written requests ended with their connection and no answer.

Cause: is_evictable did not look at what of a command had been read, so a client in the middle of one was idle for check_connections (after 100 ms) and free_capacity (2 s); begin_close dropped the part. Evidence: proxy_slow_command_crowded forces it with one slow client and 20 silent ones; the attempt never comes.

Change: connection_ending.hpp, a table of each path against each state, without I/O.

The proxy's tests pass.

--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -23,14 +23,38 @@
 constexpr std::size_t kMaxPipelined = 64;
 // How long a lingering connection is read at most, in milliseconds: many round trips.
 constexpr Millis kLingerTime = 1000;
-// How long a client may take from its connection to its first complete command, in milliseconds: a little
-// less than the time within which the protocol requires an error for unreadable input.
-constexpr Millis kFirstCommandTimeout = 2500;
-// How long a client may take to send a later command, or to read a reply, in milliseconds.
-constexpr Millis kCommandTimeout = 15000;
+// How long a client may take from its connection to its first command, and from the first to the last byte of
+// any command, in milliseconds: a little less than the time within which the protocol requires an error for
+// clients that stop.
+constexpr Millis kCommandTimeout = 2500;
+// How long a client may take to read its replies, in milliseconds.
+constexpr Millis kReadingTimeout = 15000;
 // The number of invalid statements in succession after which the connection is closed: a faulty client that
 // sends at full speed will not send valid ones.
 constexpr int kMaxInvalidInRow = 8;
+// How many reads of a late command are made at once: enough for the longest message.
+constexpr std::size_t kMaxLateReads = kReadAheadBytes / kReadBytes + 1;
+
+// Returns whether one more command may be handled before replies that are owed have been written.
+bool may_owe_more(const ClientConnection& connection) {
+  return connection.replies.size() < kMaxPipelined && connection.replies.has_memory();
+}
+
+// Returns what the client has to do next. What it has begun to send is not awaited while this instance itself
+// does not read on.
+ClientConnection::Awaited awaited_of(const ClientConnection& connection) {
+  using Awaited = ClientConnection::Awaited;
+  if (connection.writing) {
+    return Awaited::reading;
+  }
+  if (!connection.accepts_commands()) {
+    return Awaited::nothing;
+  }
+  if (!connection.buffer.data().empty() && may_owe_more(connection)) {
+    return Awaited::rest_of_command;
+  }
+  return connection.commands == 0 ? Awaited::first_command : Awaited::nothing;
+}
 }  // namespace
 
 // Returns whether the client has closed a connection that is not being read. If a client has sent more than
@@ -111,40 +135,65 @@
 }
 
 // Sets or clears the deadline for the client's next action. It limits clients that send nothing, stop in the
-// middle of a message, send messages without an end, or do not read their replies.
+// middle of a message, send messages without an end, or do not read their replies. While the same is awaited,
+// the deadline stays.
 void ClientConnections::update_deadline(ClientConnection& connection) {
   using State = ClientConnection::State;
+  using Awaited = ClientConnection::Awaited;
   if (connection.state == State::lingering || connection.state == State::closed) {
     return;
   }
-  const bool mid_message = !connection.buffer.data().empty() && may_owe_more(connection);
-  const bool waits_for_client =
-      connection.writing || (connection.accepts_commands() && (!connection.command_seen || mid_message));
-  if (!waits_for_client) {
-    timers_.cancel(connection.deadline);
+  const Awaited awaited = awaited_of(connection);
+  if (awaited == connection.awaited && connection.deadline) {
+    return;
   }
-  if (!waits_for_client || connection.deadline) {
+  clear_deadline(connection);
+  connection.awaited = awaited;
+  if (awaited == Awaited::nothing) {
     return;
   }
   connection.deadline =
-      timers_.set(clock_.now() + (connection.command_seen ? kCommandTimeout : kFirstCommandTimeout),
+      timers_.set(clock_.now() + (awaited == Awaited::reading ? kReadingTimeout : kCommandTimeout),
                   [this, shared = *connection.list_position] {
                     shared->deadline.reset();
                     deadline_passed(*shared);
                   });
 }
 
+void ClientConnections::clear_deadline(ClientConnection& connection) {
+  timers_.cancel(connection.deadline);
+  connection.awaited = ClientConnection::Awaited::nothing;
+}
+
 void ClientConnections::deadline_passed(ClientConnection& connection) {
-  if (connection.writing) {
+  if (connection.awaited == ClientConnection::Awaited::reading) {
     return abort(connection);
   }
+  if (has_acted_in_time(*connection.list_position) ||
+      end_action(EndReason::time_limit, activity_of(connection)) == EndAction::keep) {
+    return;
+  }
   log_.warn("clients", "client connection closed", {{"reason", "no complete command in time"}});
   close_with_error(connection, "57P05", "no whole command in time");
 }
 
-// Returns whether one more command may be handled before replies that are owed have been written.
-bool ClientConnections::may_owe_more(const ClientConnection& connection) {
-  return connection.replies.size() < kMaxPipelined && connection.replies.has_memory();
+// Reads what the kernel holds of an awaited command, which may have arrived in time: this process may have
+// been held up. Returns whether something else is awaited after it.
+bool ClientConnections::has_acted_in_time(const ConnectionPtr& connection) {
+  const ClientConnection::Awaited awaited = connection->awaited;
+  const std::uint64_t commands = connection->commands;
+  const auto waits_on = [&] {
+    return connection->accepts_commands() && connection->awaited == awaited &&
+           connection->commands == commands;
+  };
+  asio::error_code error;
+  for (std::size_t reads = 0; reads < kMaxLateReads && waits_on(); ++reads) {
+    if (connection->socket.available(error) == 0) {
+      return false;
+    }
+    read_now(connection);
+  }
+  return !waits_on();
 }
 
 // Handles the buffered commands in order, up to kMaxPipelined at a time. After a command that is answered at
@@ -170,21 +219,25 @@
     }
     const postgres::Message message = std::get<postgres::Message>(next);
     const std::size_t size = message.bytes.size();
-    connection.command_seen = connection.command_seen || !starting;
+    connection.commands += starting ? 0 : 1;
     const CommandResult result = handle_message(connection, message);
     if (!connection.accepts_commands()) {
       return;
     }
     connection.buffer.consume(size);
-    timers_.cancel(connection.deadline);
+    clear_deadline(connection);
     if (result == CommandResult::answered && connection.writing) {
       break;
     }
   }
-  const bool between_commands =
-      connection.buffer.data().empty() || rejecting_;  // an incomplete command is ignored then
-  if (connection.state == State::open && accept_stopped_ && between_commands && is_evictable(connection)) {
-    return begin_close(connection);
+  if (connection.state == State::open && accept_stopped_) {
+    const Activity activity = activity_of(connection);
+    asio::error_code error;
+    const bool ignored =
+        rejecting_ && activity == Activity::command_begun && connection.socket.available(error) == 0;
+    if (ignored || end_action(EndReason::draining, activity) == EndAction::close) {
+      return begin_close(connection);
+    }
   }
   update_deadline(connection);
 }
@@ -359,7 +412,7 @@
   if (connection.state == ClientConnection::State::lingering) {
     return begin_close(connection);
   }
-  timers_.cancel(connection.deadline);
+  clear_deadline(connection);
   flush(connection);
   if (connection.state == ClientConnection::State::closing) {
     if (connection.replies.empty() && !connection.writing) {
@@ -382,7 +435,7 @@
   const ConnectionPtr shared = *connection.list_position;
   connection.state = ClientConnection::State::closing;
   connection.buffer.clear();
-  timers_.cancel(connection.deadline);
+  clear_deadline(connection);
   flush(connection);
   if (connection.replies.empty() && !connection.writing) {
     return begin_close(connection);
@@ -401,7 +454,7 @@
     connection.state = ClientConnection::State::lingering;
     ++lingering_;
     connection.buffer.clear();
-    timers_.cancel(connection.deadline);
+    clear_deadline(connection);
     connection.deadline = timers_.set(clock_.now() + kLingerTime, [this, shared] {
       shared->deadline.reset();
       close(*shared);
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <asio.hpp>
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <optional>
@@ -25,6 +26,8 @@
     lingering,  // the sending side is shut down or about to be; received bytes are discarded
     closed,
   };
+  // What the client has to do next, within a time limit.
+  enum class Awaited { nothing, first_command, rest_of_command, reading };
 
   ClientConnection(asio::ip::tcp::socket accepted, net::MemoryBudget& buffers,
                    net::MemoryBudget& reply_budget)
@@ -42,12 +45,13 @@
   bool reading = false;
   bool skipping_to_sync = false;  // after a message of the extended query protocol
   bool send_shutdown = false;
-  bool command_seen = false;  // a complete command has been received
-  int invalid_in_row = 0;     // invalid statements in succession
+  std::uint64_t commands = 0;  // complete commands received
+  int invalid_in_row = 0;      // invalid statements in succession
   std::optional<postgres::CancelKey> cancel_key;
   std::size_t discarded = 0;  // bytes read while closing or lingering, which were dropped
   Millis last_activity = 0;   // Unix time at which it was accepted, or last read from or replied to
-  std::optional<net::Timers::Handle> deadline;  // for the client's next action, or the end of lingering
+  Awaited awaited = Awaited::nothing;
+  std::optional<net::Timers::Handle> deadline;  // for what is awaited, or the end of lingering
   std::list<std::shared_ptr<ClientConnection>>::iterator list_position;  // in the list of ClientConnections
 };
 
--- a/src/proxy/client_connections.cpp
+++ b/src/proxy/client_connections.cpp
@@ -71,8 +71,9 @@
       clock_.now() -
       (active_connections() > config_.max_descriptors / kCrowdedDivisor ? kIdleTimeWhenCrowded : kIdleTime);
   for (const ConnectionPtr& connection : connections_) {
-    const bool is_idle = connection->command_seen && connection->last_activity < idle_before;
-    if (active_connections() > many && is_idle && is_evictable(*connection)) {
+    const bool may_be_ended = active_connections() > many && connection->last_activity < idle_before &&
+                              connection->accepts_commands();
+    if (may_be_ended && end_action(EndReason::idle_limit, activity_of(*connection)) == EndAction::close) {
       idle.push_back(connection);
     }
     const bool not_read = !connection->reading && connection->state != ClientConnection::State::lingering;
@@ -93,12 +94,20 @@
   check_timer_ = timers_.set(clock_.now() + kCheckInterval, [this] { check_connections(); });
 }
 
-// Returns whether nothing is pending on the connection in either direction, in this process or in the
-// kernel's receive buffer.
-bool ClientConnections::is_evictable(ClientConnection& connection) {
+// Returns what is owed on a connection that accepts commands. Bytes in the kernel's receive buffer count as
+// received.
+Activity ClientConnections::activity_of(ClientConnection& connection) {
+  if (connection.writing || !connection.replies.empty()) {
+    return Activity::owing;
+  }
   asio::error_code error;
-  return connection.accepts_commands() && !connection.writing && connection.replies.empty() &&
-         connection.socket.available(error) == 0;
+  if (!connection.buffer.data().empty() || connection.socket.available(error) > 0) {
+    return Activity::command_begun;
+  }
+  if (connection.state == ClientConnection::State::starting) {
+    return Activity::connecting;
+  }
+  return connection.commands == 0 ? Activity::unused : Activity::resting;
 }
 
 void ClientConnections::set_ready() {
@@ -159,21 +168,21 @@
   }
 }
 
-// Closes one connection to make room for a new one: one that has never sent anything, or else the one that
-// has been idle or in the middle of a message for the longest time. Returns false if there is none. Without
-// this, clients that connect and send nothing could keep ordinary clients out.
+// Closes one connection to make room for a new one: one that has never sent a command, or else the one that
+// has been idle for the longest time. Returns false if there is none. Without this, clients that connect and
+// send nothing could keep ordinary clients out.
 bool ClientConnections::free_capacity() {
   ClientConnection* silent = nullptr;
   ClientConnection* idle = nullptr;
   for (const ConnectionPtr& connection : connections_) {
-    if (!is_evictable(*connection)) {
+    if (!connection->accepts_commands()) {
       continue;
     }
-    if (!connection->command_seen && connection->buffer.data().empty()) {
-      if (!silent) {
-        silent = connection.get();
-      }
-    } else if (!idle || connection->last_activity < idle->last_activity) {
+    const EndAction action = end_action(EndReason::capacity, activity_of(*connection));
+    if (action == EndAction::close_with_error && !silent) {
+      silent = connection.get();
+    }
+    if (action == EndAction::close && (!idle || connection->last_activity < idle->last_activity)) {
       idle = connection.get();
     }
   }
@@ -193,9 +202,13 @@
 // middle of long messages could use up the memory of all others.
 bool ClientConnections::free_read_memory() {
   ClientConnection* quiet = nullptr;
+  asio::error_code error;
   for (const ConnectionPtr& connection : connections_) {
-    const bool mid_message = !connection->buffer.data().empty() && is_evictable(*connection);
-    if (mid_message && (!quiet || connection->last_activity < quiet->last_activity)) {
+    const bool has_stopped = connection->accepts_commands() && !connection->buffer.data().empty() &&
+                             connection->socket.available(error) == 0;
+    if (has_stopped &&
+        end_action(EndReason::memory_for_others, activity_of(*connection)) != EndAction::keep &&
+        (!quiet || connection->last_activity < quiet->last_activity)) {
       quiet = connection.get();
     }
   }
--- a/src/proxy/client_connections.hpp
+++ b/src/proxy/client_connections.hpp
@@ -13,6 +13,7 @@
 #include "net/buffer.hpp"
 #include "net/clock.hpp"
 #include "postgres/codec.hpp"
+#include "proxy/connection_ending.hpp"
 #include "routing/router.hpp"
 
 namespace reedspindle::proxy {
@@ -62,7 +63,7 @@
   void accept();
   void add_connection(asio::ip::tcp::socket socket);
   [[nodiscard]] std::size_t active_connections() const { return connections_.size() - lingering_; }
-  static bool is_evictable(ClientConnection& connection);
+  static Activity activity_of(ClientConnection& connection);
   bool free_capacity();
   bool free_read_memory();
   void check_connections();
@@ -77,8 +78,9 @@
   void read_now(const ConnectionPtr& connection);
   void discard_now(const ConnectionPtr& connection);
   static bool has_hung_up(ClientConnection& connection);
-  static bool may_owe_more(const ClientConnection& connection);
   void update_deadline(ClientConnection& connection);
+  void clear_deadline(ClientConnection& connection);
+  bool has_acted_in_time(const ConnectionPtr& connection);
   void deadline_passed(ClientConnection& connection);
   void handle_commands(ClientConnection& connection);
   CommandResult handle_message(ClientConnection& connection, const postgres::Message& message);
--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -424,6 +424,14 @@
     if (verb == "receives") {
       return print_responses(clients_.at(name));
     }
+    if (verb == "receives-within") {  // "receives-within 3000": at most that many milliseconds from now
+      const auto began = std::chrono::steady_clock::now();
+      print_responses(clients_.at(name));
+      const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - began;
+      std::cout << (took.count() <= std::stod(rest) ? "  in time\n"
+                                                    : fmt::format("  after {:.0f} ms\n", took.count()));
+      return;
+    }
     if (verb == "cancels") {  // cancels the request of client NAME, on a separate connection
       Connection connection;
       connection.fd = connect_to(proxy_address_);
