The id of a request that may have run is taken until its time is over

Seen: a write comes again under its id after its client has left, and is sent to the server a second time.

Cause: only the ids of open requests were known; a request ends when its client leaves, its attempt does not. Evidence: proxy_id_after_disconnect, in which the server gets the id twice on.

Change: RequestIds keeps the hash of the id of each request but plain reads that had an attempt started and was not rejected, until the time its client stated; one for each 4 KiB of the memory limit at the most. It is answered with 22023.

Measured: proxy_id_after_disconnect fails on (58000 where 22023 is expected) and passes.

--- a/src/proxy/decision_execution.cpp
+++ b/src/proxy/decision_execution.cpp
@@ -29,7 +29,8 @@
 
 void ProxyServer::execute(const RejectRequest& decision) {
   const std::string retry_after = decision.retry_after > 0 ? fmt::format("{:.0f}", decision.retry_after) : "";
-  complete_request(decision.request, error_answer("53300", "busy, try again", retry_after), "rejected");
+  complete_request(decision.request, error_answer("53300", "busy, try again", retry_after), "rejected",
+                   Effect::none);
 }
 
 void ProxyServer::execute(const FailRequest& decision) {
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kMemoryDivisor = 8;
 // What one open request takes up besides its text, in bytes: its records in all parts of the program.
 constexpr std::size_t kRequestRecordBytes = 2048;
+// The id of one ended request is kept for so many bytes of the memory limit: ids take up some 100 bytes each.
+constexpr std::size_t kMemoryPerEndedId = 4096;
 
 postgres::Fault too_many_open() { return {"53300", "too many ops are open"}; }
 }  // namespace
@@ -43,6 +45,7 @@
       timers_(io_, clock_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       router_(make_router(config_.router_settings, config_.seed)),
+      request_ids_(config_.memory_bytes / kMemoryPerEndedId),
       request_budget_(config_.memory_bytes / kMemoryDivisor),
       connection_pool_(
           io_, timers_, clock_, log_, config_,
@@ -233,9 +236,12 @@
   if (!groups_.contains(GroupId{statement.group})) {
     return postgres::Fault{"22023", "cluster names no group"};
   }
-  if (open_ids_.contains(statement.id)) {
+  if (request_ids_.is_open(statement.id)) {
     return postgres::Fault{"22023", "id is that of an open op"};
   }
+  if (request_ids_.has_ended(statement.id, clock_.now())) {
+    return postgres::Fault{"22023", "id is that of an earlier op"};
+  }
   if (requests_.size() >= config_.max_open_requests) {
     return too_many_open();
   }
@@ -264,13 +270,16 @@
   const Millis arrived = arrival_bound_.earliest(clock_.now());
   queued_events_.push_back({std::move(received), arrived, statement.position});
   router_run_needed_ = true;
-  requests_[request] = {std::move(kept_text),
-                        std::move(record),
-                        std::string(statement.id),
-                        statement.remaining_span,
-                        0,
-                        arrived};
-  open_ids_.emplace(statement.id);
+  const config::NamedRequestClass& named =
+      config_.names.request_classes.find(statement.request_class)->second;
+  requests_[request] = {.text = std::move(kept_text),
+                        .record = std::move(record),
+                        .id = std::string(statement.id),
+                        .remaining_span = statement.remaining_span,
+                        .repeatable = !named.writes && !named.tokened,
+                        .arrived = arrived,
+                        .deadline = arrived + statement.remaining};
+  request_ids_.add(statement.id);
   return std::nullopt;
 }
 
@@ -287,7 +296,8 @@
 
 // This is the only function that removes a request from requests_. Attempts of the request that are still
 // queued are never sent.
-void ProxyServer::complete_request(RequestId request, net::ChargedText answer, std::string_view reason) {
+void ProxyServer::complete_request(RequestId request, net::ChargedText answer, std::string_view reason,
+                                   Effect effect) {
   const auto found = requests_.find(request);
   if (found == requests_.end()) {
     return;
@@ -299,7 +309,12 @@
                 {"attempts", found->second.attempts},
                 {"elapsed_ms", clock_.now() - found->second.arrived}});
   }
-  open_ids_.erase(found->second.id);
+  const Request& ended = found->second;
+  if (effect == Effect::possible && ended.attempts > 0 && !ended.repeatable) {
+    request_ids_.remove(ended.id, clock_.now(), ended.deadline);
+  } else {
+    request_ids_.remove(ended.id);
+  }
   requests_.erase(found);
   if (!answer.text().empty()) {
     client_connections_.answer(request, std::move(answer));
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -19,6 +19,7 @@
 #include "proxy/fleet_coordinator.hpp"
 #include "proxy/options.hpp"
 #include "proxy/peer_socket.hpp"
+#include "proxy/request_ids.hpp"
 #include "proxy/turn_gauge.hpp"
 #include "routing/router.hpp"
 #include "upstream/connection_pool.hpp"
@@ -42,8 +43,10 @@
     net::MemoryCharge record;                      // of all that is kept besides the text
     std::string id;                                // chosen by the client
     postgres::TextSpan remaining_span;  // the place in the text that states the client's remaining time
+    bool repeatable = false;            // it may run several times
     int attempts = 0;
-    Millis arrived = 0;  // Unix time
+    Millis arrived = 0;   // Unix time
+    Millis deadline = 0;  // Unix time; the client's
   };
   // An event for the router. A request's remaining time and token age are computed when the router runs.
   struct QueuedEvent {
@@ -63,9 +66,11 @@
   bool may_send(RequestId request, AttemptNumber attempt);
   void handle_attempt_completed(AttemptCompleted completed, std::optional<net::ChargedText> row);
   void handle_peer_message(int peer, std::string text);
+  enum class Effect { none, possible };
   // Ends the request and sends its answer, up to ReadyForQuery, unless that is empty. The reason appears only
   // in the log.
-  void complete_request(RequestId request, net::ChargedText answer, std::string_view reason);
+  void complete_request(RequestId request, net::ChargedText answer, std::string_view reason,
+                        Effect effect = Effect::possible);
 
   void restore_endpoint_list();
   void run_turn();
@@ -109,9 +114,9 @@
   std::optional<net::Timers::Handle> peer_message_timer_;
   Millis last_run_ = 0;  // Unix time of the router's last run
   std::map<RequestId, Request> requests_;
-  std::set<std::string, std::less<>> open_ids_;  // ids of the open requests, chosen by clients
-  std::set<GroupId> groups_;                     // all groups in endpoint lists so far
-  net::MemoryBudget request_budget_;             // of the open requests and their texts
+  RequestIds request_ids_;
+  std::set<GroupId> groups_;          // all groups in endpoint lists so far
+  net::MemoryBudget request_budget_;  // of the open requests and their texts
   upstream::ConnectionPool connection_pool_;
   ClientConnections client_connections_;
   discovery::Client discovery_client_;
