Memory: a quarter of what clients share is kept for those that hold little

Seen on: clients that pipeline reads of 64 KiB and do not read take the process to 77,252 kB; slow writers leave usual clients 562 of 983 requests served.

Change: MemoryBudget::is_fair_share, for read buffers and open requests; commands beyond a connection's share wait for its replies. 64 commands of a connection are handled before the callbacks of others. A request's record is charged 1 KiB.

--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <bit>
 #include <cstring>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,8 @@
 class Buffer {
  public:
   explicit Buffer(MemoryBudget& budget) : budget_(budget) {}
+  // Beyond a small size, the buffer may hold only a fair share of the budget, see MemoryBudget.
+  Buffer(MemoryBudget& budget, std::size_t share_divisor) : budget_(budget), share_divisor_(share_divisor) {}
   ~Buffer() { budget_.release(bytes_.size()); }
   Buffer(const Buffer&) = delete;
 
@@ -25,8 +28,8 @@
   // release_unused() or clear().
   [[nodiscard]] std::string_view data() const { return {bytes_.data() + begin_, end_ - begin_}; }
 
-  // Returns space for the next read: at least `min_bytes` bytes, or none if the budget is used up. Valid
-  // until the next call.
+  // Returns space for the next read: at least `min_bytes` bytes, or none if the budget does not allow it.
+  // Valid until the next call.
   std::span<char> prepare(std::size_t min_bytes) {
     if (begin_ == end_) {
       begin_ = end_ = 0;
@@ -38,7 +41,7 @@
     }
     if (bytes_.size() - end_ < min_bytes) {
       const std::size_t new_size = std::bit_ceil(std::max(2 * bytes_.size(), end_ + min_bytes));
-      if (!budget_.take(new_size - bytes_.size())) {
+      if (!may_hold(new_size) || !budget_.take(new_size - bytes_.size())) {
         return {};
       }
       bytes_.resize(new_size);
@@ -70,9 +73,16 @@
   }
 
  private:
+  [[nodiscard]] bool may_hold(std::size_t size) const {
+    return !share_divisor_ || size <= kSmallSize || budget_.is_fair_share(size, *share_divisor_);
+  }
+
   // Data that takes up less than this part of the memory is moved to a smaller part.
   static constexpr std::size_t kMinUseDivisor = 4;
+  // A buffer up to this size, in bytes, is enough for short messages.
+  static constexpr std::size_t kSmallSize = 4096;
   MemoryBudget& budget_;
+  const std::optional<std::size_t> share_divisor_;
   std::vector<char> bytes_;
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
--- a/src/net/memory_budget.hpp
+++ b/src/net/memory_budget.hpp
@@ -12,7 +12,7 @@
 // Limits the bytes that several owners hold together. Each owner releases what it has taken.
 class MemoryBudget {
  public:
-  explicit MemoryBudget(std::size_t bytes) : left_(bytes) {}
+  explicit MemoryBudget(std::size_t bytes) : total_(bytes), left_(bytes) {}
   // Takes `bytes` from the budget. Returns false, and takes nothing, if fewer bytes are left.
   [[nodiscard]] bool take(std::size_t bytes) {
     if (bytes > left_) {
@@ -23,8 +23,17 @@
   }
   void release(std::size_t bytes) { left_ += bytes; }
   [[nodiscard]] std::size_t left() const { return left_; }
+  // Returns whether an owner that holds much may hold `bytes`: at most the `divisor`-th part of what is left,
+  // a reserve aside. The more of the budget is in use, the less one owner may hold: those that hold most are
+  // the first that get nothing, and the reserve is for those that hold little.
+  [[nodiscard]] bool is_fair_share(std::size_t bytes, std::size_t divisor) const {
+    const std::size_t reserve = total_ / kReserveDivisor;
+    return left_ > reserve && bytes <= (left_ - reserve) / divisor;
+  }
 
  private:
+  static constexpr std::size_t kReserveDivisor = 4;
+  const std::size_t total_;
   std::size_t left_;
 };
 
--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -21,6 +21,9 @@
 // during one slow reply. If a command waits behind the replies to others for longer than its client does, it
 // fails.
 constexpr std::size_t kMaxPipelined = 64;
+// How many commands of one connection are handled before the callbacks of other connections: also commands
+// that get no reply of their own, of which a buffer holds thousands.
+constexpr int kMaxCommandsPerTurn = 64;
 // How long a lingering connection is read at most, in milliseconds: many round trips.
 constexpr Millis kLingerTime = 1000;
 // How long a client may take from its connection to its first command, and from the first to the last byte of
@@ -42,14 +45,9 @@
 constexpr const char* kStoppingCode = "57P03";
 constexpr const char* kStoppingText = "the front is stopping";
 
-// Returns whether one more command may be handled before replies that are owed have been written.
-bool may_owe_more(const ClientConnection& connection) {
-  return connection.replies.size() < kMaxPipelined && connection.replies.has_memory();
-}
-
 // Returns what the client has to do next. What it has begun to send is not awaited while this instance itself
 // does not read on.
-ClientConnection::Awaited awaited_of(const ClientConnection& connection) {
+ClientConnection::Awaited awaited_of(const ClientConnection& connection, bool may_owe_more) {
   using Awaited = ClientConnection::Awaited;
   if (connection.writing) {
     return Awaited::reading;
@@ -57,7 +55,7 @@
   if (!connection.accepts_commands()) {
     return Awaited::nothing;
   }
-  if (!connection.buffer.data().empty() && may_owe_more(connection)) {
+  if (!connection.buffer.data().empty() && may_owe_more) {
     return Awaited::rest_of_command;
   }
   return connection.commands == 0 ? Awaited::first_command : Awaited::nothing;
@@ -98,7 +96,7 @@
   if (found == requests_.end()) {
     return true;  // it has been answered or abandoned; the caller knows
   }
-  ClientConnection& connection = *found->second;
+  ClientConnection& connection = *found->second.connection;
   check_presence(connection);
   if (!has_hung_up(connection)) {
     return true;
@@ -189,7 +187,7 @@
   if (connection.state == State::lingering || connection.state == State::closed) {
     return;
   }
-  const Awaited awaited = awaited_of(connection);
+  const Awaited awaited = awaited_of(connection, may_owe_more(connection));
   if (awaited == connection.awaited && connection.deadline) {
     return;
   }
@@ -242,12 +240,21 @@
   return !waits_on();
 }
 
+// Returns whether one more command may be handled before replies that are owed have been written.
+bool ClientConnections::may_owe_more(const ClientConnection& connection) const {
+  return connection.replies.size() < kMaxPipelined && connection.replies.has_memory() &&
+         owner_.may_open_more(connection.open_requests, connection.request_bytes);
+}
+
 // Handles the buffered commands in order, up to kMaxPipelined at a time. After a command that is answered at
 // once, the rest is handled when its reply has been written, so that the commands of other clients are
 // handled between the commands of a client that sends many of them.
 void ClientConnections::handle_commands(ClientConnection& connection) {
   using State = ClientConnection::State;
-  while (connection.accepts_commands() && may_owe_more(connection)) {
+  for (int handled = 0; connection.accepts_commands() && may_owe_more(connection); ++handled) {
+    if (handled == kMaxCommandsPerTurn) {
+      return handle_later(connection);
+    }
     const std::string_view buffered = connection.buffer.data();
     const bool starting = connection.state == State::starting;
     const postgres::ReadResult next =
@@ -279,6 +286,20 @@
   update_deadline(connection);
 }
 
+// Handles the rest of the buffered commands after the callbacks of others.
+void ClientConnections::handle_later(ClientConnection& connection) {
+  if (std::exchange(connection.handled_later, true)) {
+    return;
+  }
+  asio::post(io_, [this, shared = *connection.list_position] {
+    shared->handled_later = false;
+    if (shared->accepts_commands()) {
+      handle_commands(*shared);
+      read(shared);
+    }
+  });
+}
+
 // Ends a connection on which nothing is owed any more while this instance is draining. A command that has
 // been begun is read to its end and then rejected. A client that sends one command right after the other is
 // never between two: an error answers what it begins after that. Returns whether the connection has been
@@ -393,7 +414,9 @@
   if (!fault) {
     connection.invalid_in_row = 0;
     connection.replies.add_request(request);
-    requests_[request] = &connection;
+    requests_[request] = {&connection, text.size()};
+    ++connection.open_requests;
+    connection.request_bytes += text.size();
     return CommandResult::pending;
   }
   log_.warn("clients", "statement rejected", {{"reason", fault->text}});
@@ -405,13 +428,24 @@
                                postgres::ready_for_query());
 }
 
-void ClientConnections::answer(RequestId request, net::ChargedText bytes) {
+ClientConnection* ClientConnections::take_request(RequestId request) {
   const auto found = requests_.find(request);
   if (found == requests_.end()) {
-    return;
+    return nullptr;
   }
-  ClientConnection& connection = *found->second;
+  const OpenRequest open = found->second;
   requests_.erase(found);
+  --open.connection->open_requests;
+  open.connection->request_bytes -= open.text_bytes;
+  return open.connection;
+}
+
+void ClientConnections::answer(RequestId request, net::ChargedText bytes) {
+  ClientConnection* const of = take_request(request);
+  if (!of) {
+    return;
+  }
+  ClientConnection& connection = *of;
   connection.last_activity = clock_.now();
   static const std::string kReplyTooLarge =
       postgres::error(postgres::Severity::error, "53200", "answers that wait behind others take too much") +
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -29,9 +29,14 @@
   // What the client has to do next, within a time limit.
   enum class Awaited { nothing, first_command, rest_of_command, reading };
 
+  // The read buffer may hold at most this part of what is left for all.
+  static constexpr std::size_t kBufferShareDivisor = 2;
+
   ClientConnection(asio::ip::tcp::socket accepted, net::MemoryBudget& buffers,
                    net::MemoryBudget& reply_budget)
-      : socket(std::move(accepted)), buffer(buffers), replies(reply_budget, reply_budget) {}
+      : socket(std::move(accepted)),
+        buffer(buffers, kBufferShareDivisor),
+        replies(reply_budget, reply_budget) {}
 
   [[nodiscard]] bool accepts_commands() const { return state == State::starting || state == State::open; }
   static State state_of(const std::shared_ptr<ClientConnection>& connection) { return connection->state; }
@@ -46,8 +51,11 @@
   bool skipping_to_sync = false;  // after a message of the extended query protocol
   bool send_shutdown = false;
   std::uint64_t commands = 0;  // complete commands received
+  std::size_t open_requests = 0;
+  std::size_t request_bytes = 0;  // of the texts of its open requests
   bool answered_while_rejecting = false;
-  int invalid_in_row = 0;  // invalid statements in succession
+  bool handled_later = false;  // its buffered commands are handled in a later callback
+  int invalid_in_row = 0;      // invalid statements in succession
   std::optional<postgres::CancelKey> cancel_key;
   std::size_t discarded = 0;  // bytes read while closing or lingering, which were dropped
   Millis presence_checked =
--- a/src/proxy/client_connections.cpp
+++ b/src/proxy/client_connections.cpp
@@ -224,7 +224,7 @@
 // Abandons the open requests of a connection that the client has closed, and closes it.
 void ClientConnections::handle_disconnect(ClientConnection& connection) {
   for (const RequestId request : connection.replies.open_requests()) {
-    requests_.erase(request);
+    take_request(request);
     owner_.request_abandoned(request);
   }
   close(connection);
--- a/src/proxy/client_connections.hpp
+++ b/src/proxy/client_connections.hpp
@@ -31,6 +31,8 @@
     // calls answer() later.
     virtual std::optional<postgres::Fault> request_arrived(RequestId request, std::string_view text,
                                                            const postgres::Statement& statement) = 0;
+    // Returns whether a client whose open requests have so many bytes of text may have one more.
+    [[nodiscard]] virtual bool may_open_more(std::size_t requests, std::size_t text_bytes) const = 0;
     // Handles a request whose client has disconnected or cancelled it: no answer is expected.
     virtual void request_abandoned(RequestId request) = 0;
   };
@@ -60,6 +62,10 @@
 
  private:
   using ConnectionPtr = std::shared_ptr<ClientConnection>;
+  struct OpenRequest {
+    ClientConnection* connection = nullptr;
+    std::size_t text_bytes = 0;
+  };
   enum class CommandResult { pending, answered };  // pending: the reply follows later, or there is none
 
   // Accepting, capacity and draining (client_connections.cpp).
@@ -87,7 +93,9 @@
   void clear_deadline(ClientConnection& connection);
   bool has_acted_in_time(const ConnectionPtr& connection);
   void deadline_passed(ClientConnection& connection);
+  [[nodiscard]] bool may_owe_more(const ClientConnection& connection) const;
   void handle_commands(ClientConnection& connection);
+  void handle_later(ClientConnection& connection);
   bool end_for_drain(ClientConnection& connection);
   static std::string stopping_error();
   CommandResult handle_message(ClientConnection& connection, const postgres::Message& message);
@@ -95,6 +103,8 @@
   CommandResult handle_query(ClientConnection& connection, std::string_view text);
   CommandResult handle_statement(ClientConnection& connection, std::string_view text);
   CommandResult reply(ClientConnection& connection, std::string bytes);
+  // Forgets an open request. Returns its connection; null if there is no such request.
+  ClientConnection* take_request(RequestId request);
   void cancel(const postgres::CancelKey& key);
   void flush(ClientConnection& connection);
   void write(ClientConnection& connection);
@@ -115,7 +125,7 @@
   net::MemoryBudget reply_budget_;        // of the replies that wait behind others, and of their records
   std::list<ConnectionPtr> connections_;  // owns all connections
   std::size_t lingering_ = 0;             // number of lingering connections
-  std::map<RequestId, ClientConnection*> requests_;
+  std::map<RequestId, OpenRequest> requests_;
   std::map<postgres::CancelKey, ClientConnection*> cancel_keys_;
   std::uint64_t last_request_ = 0;
   std::uint32_t last_connection_ = 0;
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -24,9 +24,11 @@
 // All open requests together may use 1/kMemoryDivisor of the memory limit of the process.
 constexpr std::size_t kMemoryDivisor = 8;
 // What one open request takes up besides its text, in bytes: its records in all parts of the program.
-constexpr std::size_t kRequestRecordBytes = 2048;
+constexpr std::size_t kRequestRecordBytes = 1024;
 // The id of one ended request is kept for so many bytes of the memory limit: ids take up some 100 bytes each.
 constexpr std::size_t kMemoryPerEndedId = 4096;
+// The open requests of one client connection may hold at most this part of what is left for all.
+constexpr std::size_t kRequestShareDivisor = 16;
 
 postgres::Fault too_many_open() { return {"53300", "too many ops are open"}; }
 }  // namespace
@@ -289,6 +291,11 @@
                           postgres::ready_for_query());
 }
 
+bool ProxyServer::may_open_more(std::size_t requests, std::size_t text_bytes) const {
+  return requests == 0 ||
+         request_budget_.is_fair_share(requests * kRequestRecordBytes + text_bytes, kRequestShareDivisor);
+}
+
 void ProxyServer::request_abandoned(RequestId request) {
   enqueue(RequestAbandoned{request});
   complete_request(request, {}, "abandoned by client");
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -57,6 +57,7 @@
 
   std::optional<postgres::Fault> request_arrived(RequestId request, std::string_view text,
                                                  const postgres::Statement& statement) override;
+  [[nodiscard]] bool may_open_more(std::size_t requests, std::size_t text_bytes) const override;
   void request_abandoned(RequestId request) override;
   [[nodiscard]] std::optional<postgres::Fault> reject_reason(const postgres::Statement& statement);
   // Encodes an error up to ReadyForQuery.
--- a/tests/proxy_test/crowd.cpp
+++ b/tests/proxy_test/crowd.cpp
@@ -34,6 +34,9 @@
     }
     return;
   }
+  if (verb == "stops-reading") {
+    return stop_reading();
+  }
   int count = 0;
   line >> count;
   if (verb == "connects") {
@@ -119,7 +122,19 @@
   read_replies();
 }
 
+// Lets the kernel take as little as it can for the clients.
+void Crowd::stop_reading() {
+  const int bytes = 1;
+  for (const Client& client : clients_) {
+    setsockopt(client.connection.fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  }
+  reads_ = false;
+}
+
 void Crowd::read_replies() {
+  if (!reads_) {
+    return;
+  }
   for (Client& client : clients_) {
     Connection& connection = client.connection;
     pollfd readable{connection.fd, POLLIN, 0};
--- a/tests/proxy_test/crowd.hpp
+++ b/tests/proxy_test/crowd.hpp
@@ -14,6 +14,7 @@
 // Owns the connections of the crowd. Its verbs, after "crowd" in a trace:
 //   connects N              N clients connect, send a first command and get its reply
 //   is-silent N             N clients connect and send nothing
+//   stops-reading           none reads on
 //   sends-numbered N TEXT   each sends N statements at once; NUMBER becomes 0-0, 0-1, ... for the first
 //   sends-part BYTES TEXT   each sends the beginning of a statement, in which LONG stands for 64 KiB
 //   long-responses N        servers answer attempts, but each client's first, with 64 KiB, N in all
@@ -43,6 +44,7 @@
   void send_numbered(int count, const std::string& text);
   void send_part(std::size_t bytes, const std::string& text);
   int respond_to_attempts();
+  void stop_reading();
   void read_replies();
   void wait_for_replies(int count);
 
@@ -51,6 +53,7 @@
   WaitFor wait_for_;
   std::deque<Client> clients_;
   bool respond_to_all_ = false;
+  bool reads_ = true;
 };
 
 }  // namespace proxy_test
