One read that does not wait for both kinds of connection; errors of servers are kept as outcomes

An error code of a server, up to 8 KiB, was kept on each connection and response as text; the outcome is enough. The check of a client's presence asks a counter, not a list made for it.

--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -4,10 +4,10 @@
 
 #include <array>
 #include <random>
-#include <span>
 #include <utility>
 #include <vector>
 
+#include "net/receive.hpp"
 #include "proxy/client_connection.hpp"
 #include "proxy/client_connections.hpp"
 
@@ -76,7 +76,7 @@
   asio::error_code error;
   return !connection.reading && !connection.writing &&
          (connection.state == State::open || connection.state == State::closing) &&
-         !connection.replies.open_requests().empty() && connection.socket.available(error) > 0;
+         connection.open_requests > 0 && connection.socket.available(error) > 0;
 }
 
 // Makes an end that may be hidden visible: sends a parameter that the client knows already, and that clients
@@ -140,29 +140,22 @@
   if (!connection->accepts_commands()) {
     return discard_now(connection);
   }
-  std::span<char> space = connection->buffer.prepare(kReadBytes);
-  while (space.empty() && free_read_memory()) {
-    space = connection->buffer.prepare(kReadBytes);
-  }
-  if (!connection->accepts_commands()) {
-    return;  // its own buffer was freed
-  }
-  if (space.empty()) {
-    log_.warn("clients", "client connection closed", {{"reason", "read buffer memory exhausted"}});
-    return close_with_error(*connection, "53300", "too many long statements at once");
-  }
-  asio::error_code error;
-  const std::size_t count = connection->socket.read_some(asio::buffer(space.data(), space.size()), error);
-  if (error == asio::error::would_block || error == asio::error::interrupted) {
-    return read(connection);
-  }
-  if (error) {
-    return handle_disconnect(*connection);
+  switch (net::receive(connection->socket, connection->buffer, kReadBytes,
+                       [this] { return free_read_memory(); })) {
+    case net::Received::bytes:
+      connection->last_activity = clock_.now();
+      handle_commands(*connection);
+      return read(connection);
+    case net::Received::nothing:
+      return read(connection);
+    case net::Received::no_memory:
+      log_.warn("clients", "client connection closed", {{"reason", "read buffer memory exhausted"}});
+      return close_with_error(*connection, "53300", "too many long statements at once");
+    case net::Received::failed:
+      return handle_disconnect(*connection);
+    case net::Received::closed:
+      return;
   }
-  connection->buffer.commit(count);
-  connection->last_activity = clock_.now();
-  handle_commands(*connection);
-  read(connection);
 }
 
 // Reads and drops bytes. Takes no memory from the budget, so that a client can always be read out before its
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -2,11 +2,11 @@
 // before they are used again.
 #include "upstream/server_connection.hpp"
 
-#include <span>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "net/receive.hpp"
 #include "upstream/connection_pool.hpp"
 
 namespace reedspindle::upstream {
@@ -129,29 +129,22 @@
 }
 
 void ConnectionPool::read_now(const ConnectionPtr& connection) {
-  std::span<char> space = connection->buffer.prepare(kReadBytes);
-  while (space.empty() && free_read_memory(*connection)) {
-    space = connection->buffer.prepare(kReadBytes);
-  }
-  if (connection->state == ServerConnection::State::closed) {
-    return;  // closed for a connection that replaces the one that was freed
-  }
-  if (space.empty()) {
-    log_.warn("upstream", "server connection closed",
-              {{"server", connection->server.id.address}, {"reason", "read buffer memory exhausted"}});
-    return handle_disconnect(*connection);
-  }
-  asio::error_code error;
-  const std::size_t count = connection->socket.read_some(asio::buffer(space.data(), space.size()), error);
-  if (error == asio::error::would_block || error == asio::error::interrupted) {
-    return read(connection);
-  }
-  if (error) {
-    return handle_disconnect(*connection);
+  const auto free_memory = [this, &connection] { return free_read_memory(*connection); };
+  switch (net::receive(connection->socket, connection->buffer, kReadBytes, free_memory)) {
+    case net::Received::bytes:
+      connection->last_read = clock_.now();
+      return handle_messages(connection);
+    case net::Received::nothing:
+      return read(connection);
+    case net::Received::no_memory:
+      log_.warn("upstream", "server connection closed",
+                {{"server", connection->server.id.address}, {"reason", "read buffer memory exhausted"}});
+      return handle_disconnect(*connection);
+    case net::Received::failed:
+      return handle_disconnect(*connection);
+    case net::Received::closed:  // for a connection that replaces the one that was freed
+      return;
   }
-  connection->buffer.commit(count);
-  connection->last_read = clock_.now();
-  handle_messages(connection);
 }
 
 // Frees the read buffer of the connection that has been quiet for the longest time in the middle of a
@@ -246,7 +239,7 @@
   if (connection.call) {
     return connection.call->response.read_error(fields->code);
   }
-  connection.startup_error = fields->code;
+  connection.startup_error = outcome_of_code(fields->code);
   return true;
 }
 
@@ -341,8 +334,7 @@
 // Handles a connection that the server has closed or that can't be read any more.
 void ConnectionPool::handle_disconnect(ServerConnection& connection) {
   if (connection.state == ServerConnection::State::opening) {
-    const bool overloaded = connection.startup_error &&
-                            outcome_of_code(*connection.startup_error) == AttemptOutcome::rejected_overloaded;
+    const bool overloaded = connection.startup_error == AttemptOutcome::rejected_overloaded;
     return fail_open(connection,
                      overloaded ? AttemptOutcome::rejected_overloaded : AttemptOutcome::connect_failed);
   }
--- a/src/upstream/server_connection.hpp
+++ b/src/upstream/server_connection.hpp
@@ -72,7 +72,7 @@
   bool reset_answered = false;                           // EmptyQueryResponse has been received
   std::unique_ptr<PendingCall> call;                     // set while it is busy
   std::optional<net::Timers::Handle> timer;              // set while it is opening or resetting
-  std::optional<std::string> startup_error;              // SQLSTATE of an error received while opening
+  std::optional<AttemptOutcome> startup_error;           // of an error received while opening
   std::list<std::shared_ptr<ServerConnection>>::iterator list_position;  // in the pool's list
 };
 
--- a/src/upstream/server_response.cpp
+++ b/src/upstream/server_response.cpp
@@ -93,7 +93,7 @@
 }
 
 bool ServerResponse::read_row_description(const postgres::Message& message) {
-  if (error_code_ || described_ || !postgres::describes_one_column(message.body)) {
+  if (error_ || described_ || !postgres::describes_one_column(message.body)) {
     return false;
   }
   described_ = true;
@@ -103,7 +103,7 @@
 
 bool ServerResponse::read_data_row(const postgres::Message& message, Millis now, bool is_probe) {
   const auto value = postgres::read_row(message.body);
-  if (error_code_ || !described_ || has_row_ || !value) {
+  if (error_ || !described_ || has_row_ || !value) {
     return false;
   }
   has_row_ = true;
@@ -116,7 +116,7 @@
 }
 
 bool ServerResponse::read_command_complete(const postgres::Message& message) {
-  if (error_code_ || !has_row_ || complete_ || !postgres::is_command_tag(message.body)) {
+  if (error_ || !has_row_ || complete_ || !postgres::is_command_tag(message.body)) {
     return false;
   }
   complete_ = true;
@@ -128,7 +128,7 @@
   if (finished()) {
     return false;
   }
-  error_code_ = code;
+  error_ = outcome_of_code(code);
   return true;
 }
 
@@ -145,8 +145,8 @@
 }
 
 AttemptOutcome ServerResponse::outcome() const {
-  if (error_code_) {
-    return outcome_of_code(*error_code_);
+  if (error_) {
+    return *error_;
   }
   return complete_ ? AttemptOutcome::acknowledged : AttemptOutcome::failed;
 }
--- a/src/upstream/server_response.hpp
+++ b/src/upstream/server_response.hpp
@@ -33,7 +33,7 @@
   void mark_unreadable();
 
   // Returns whether CommandComplete or an error has been received.
-  [[nodiscard]] bool finished() const { return complete_ || error_code_; }
+  [[nodiscard]] bool finished() const { return complete_ || error_; }
   [[nodiscard]] bool unreadable() const { return unreadable_; }
   // Returns the outcome of the attempt or probe; `failed` if the response is incomplete.
   [[nodiscard]] AttemptOutcome outcome() const;
@@ -51,11 +51,11 @@
 
   ReplicaSample sample_;
   ReplicaSample report_;
-  std::optional<net::ChargedText> row_;    // none: there was no memory to keep it
-  std::optional<std::string> error_code_;  // SQLSTATE
-  bool described_ = false;                 // RowDescription has been received
-  bool has_row_ = false;                   // DataRow has been received
-  bool complete_ = false;                  // CommandComplete has been received
+  std::optional<net::ChargedText> row_;  // none: there was no memory to keep it
+  std::optional<AttemptOutcome> error_;  // what the error that was received says
+  bool described_ = false;               // RowDescription has been received
+  bool has_row_ = false;                 // DataRow has been received
+  bool complete_ = false;                // CommandComplete has been received
   bool unreadable_ = false;
 };
 
