A connection that ends while its late command is read stays valid until its deadline is handled

Found by reading: deadline_passed handed the list's own pointer on, which goes when a read finds the connection broken. Not forced; the proxy's tests pass.

--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -206,7 +206,8 @@
   if (connection.awaited == ClientConnection::Awaited::reading) {
     return abort(connection);
   }
-  if (has_acted_in_time(*connection.list_position) ||
+  const ConnectionPtr shared = *connection.list_position;  // it may be closed by what is read
+  if (has_acted_in_time(shared) ||
       end_action(EndReason::time_limit, activity_of(connection)) == EndAction::keep) {
     return;
   }
