--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -3,7 +3,7 @@
 // Expected output is part of the trace, as lines that start with two spaces: they are skipped on reading, and
 // the caller compares the output with the trace file. No step sleeps for a fixed time: each waits for its
 // condition and fails after 30 seconds. The verbs of a trace are those compared in ProxyTest::run_line,
-// run_client, run_server, run_discovery and run_peer.
+// run_client, run_server and run_peer, in TestDiscovery::run and Crowd::run.
 #include <arpa/inet.h>
 #include <fmt/format.h>
 #include <poll.h>
@@ -31,6 +31,7 @@
 #include <vector>
 
 #include "proxy_test/crowd.hpp"
+#include "proxy_test/discovery.hpp"
 #include "proxy_test/peers.hpp"
 
 namespace {
@@ -55,11 +56,9 @@
     // Each participant has an address of its own, so the port chosen here for the proxy stays free until the
     // proxy binds it.
     std::string listen = loopback_address(64);
-    std::string discovery = loopback_address(96);
     close(listen_at(listen));
     config_["listen"] = proxy_address_ = listen;
-    discovery_listener_ = listen_at(discovery);
-    config_["discovery"] = discovery;
+    config_["discovery"] = discovery_.address();
     // The proxy's own datagram address is used by no other process. This test acts as the other proxy of the
     // tier.
     std::string other = loopback_address(192);
@@ -114,7 +113,10 @@
       run_server(servers_.at(rest), verb, line);
     } else if (subject == "discovery") {
       line >> verb;
-      run_discovery(verb, remainder(line));
+      discovery_.run(verb, remainder(line));
+      if (verb == "moves") {
+        config_["discovery"] = discovery_.address();
+      }
     } else if (subject == "open-clients") {
       int count = 0;
       int expected_refused = 0;
@@ -830,222 +832,23 @@
     std::cout << (load ? ", with load" : "") << '\n';
   }
 
-  // If the proxy has closed the connection because its long poll timed out, accepts the new request: the next
-  // response is sent there.
-  void accept_renewed_request() {
-    pollfd at{discovery_connection_.fd, POLLIN, 0};
-    if (discovery_connection_.fd < 0 || poll(&at, 1, 0) != 1 || read_available(discovery_connection_)) {
-      return;
-    }
-    close(std::exchange(discovery_connection_.fd, -1));
-    wait_for("the renewed request", [&] { return request_received(); });
-    discovery_connection_.received.clear();
-  }
-  // Polls on a new connection replace the one on the current connection, which stays open.
-  void accept_newer_connection() {
-    pollfd at{discovery_listener_, POLLIN, 0};
-    if (poll(&at, 1, 0) != 1) {
-      return;
-    }
-    if (discovery_connection_.fd >= 0) {
-      replaced_discovery_.push_back(discovery_connection_);
-    }
-    discovery_connection_ = {};
-    discovery_connection_.fd = accept4(discovery_listener_, nullptr, nullptr, SOCK_CLOEXEC);
-  }
-  // Polls on a replaced connection make it the current one again.
-  void find_poll_on_replaced_connection() {
-    for (Connection& connection : replaced_discovery_) {
-      pollfd at{connection.fd, POLLIN, 0};
-      if (connection.fd < 0 || poll(&at, 1, 0) != 1) {
-        continue;
-      }
-      if (!read_available(connection)) {
-        close(std::exchange(connection.fd, -1));
-      } else {
-        std::swap(connection, discovery_connection_);
-      }
-    }
-    std::erase_if(replaced_discovery_, [](const Connection& connection) { return connection.fd < 0; });
-  }
-  bool request_received() {
-    accept_newer_connection();
-    find_poll_on_replaced_connection();
-    pollfd at{discovery_connection_.fd, POLLIN, 0};
-    const bool readable = discovery_connection_.fd >= 0 && poll(&at, 1, 0) == 1;
-    if (readable && !read_available(discovery_connection_)) {
-      close(std::exchange(discovery_connection_.fd, -1));
-    }
-    return discovery_connection_.received.find("\r\n\r\n") != std::string::npos;
-  }
-
-  // "fails-polls half 6": that many polls fail in this way.
-  void fail_polls(const std::string& rest) {
-    std::istringstream line(rest);
-    std::string how;
-    int count = 0;
-    line >> how >> count;
-    for (int failed = 0; failed < count; ++failed) {
-      wait_for("a poll", [&] { return request_received(); });
-      discovery_connection_.received.clear();
-      if (how == "half") {
-        write_all(discovery_connection_.fd, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"rev\":");
-      } else if (how == "trickles") {
-        write_all(discovery_connection_.fd, "HTTP/1.1 200 OK\r\n");
-        trickling_discovery_.push_back(discovery_connection_.fd);
-      } else if (how == "status") {
-        write_all(discovery_connection_.fd, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
-      } else if (how == "resets") {
-        const linger reset{1, 0};
-        setsockopt(discovery_connection_.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-        close(std::exchange(discovery_connection_.fd, -1));
-      }
-    }
-  }
-  // "returns-within 500 43 changes b leaving": answers each new poll at once, until the proxy has the list.
-  void return_within(const std::string& rest) {
-    std::istringstream line(rest);
-    int limit = 0;
-    std::string revision;
-    line >> limit >> revision;
-    const std::string answer = revision + " " + remainder(line);
-    const auto began = std::chrono::steady_clock::now();
-    const std::string next_poll = "since=" + revision + "&";
-    wait_for("the list to be received", [&] {
-      for (const int fd : trickling_discovery_) {
-        send(fd, "X", 1, MSG_NOSIGNAL);
-      }
-      if (!request_received()) {
-        return false;
-      }
-      if (discovery_connection_.received.find(next_poll) != std::string::npos) {
-        return true;
-      }
-      discovery_connection_.received.clear();
-      run_discovery("responds-here", answer);
-      return false;
-    });
-    const auto took =
-        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began);
-    trickling_discovery_.clear();
-    std::cout << (took.count() <= limit ? "  in time\n" : fmt::format("  after {} ms\n", took.count()));
-  }
-
-  // Sends a complete list in parts, with `extra_servers` servers of other groups besides the test's own.
-  // "truncated" leaves out the last two bytes and keeps the connection open.
-  void send_long_list(const std::string& rest) {
-    std::istringstream line(rest);
-    int rev = 0;
-    int extra_servers = 0;
-    int duration_ms = 0;
-    std::string name;
-    std::string state;
-    std::string ending;
-    line >> rev >> extra_servers >> duration_ms >> name >> state >> ending;
-    if (!name.empty()) {
-      endpoints_.at(name)["state"] = state;
-    }
-    Json targets = Json::array();
-    for (const auto& [own_name, row] : endpoints_) {
-      targets.push_back(row);
-    }
-    for (int index = 0; index < extra_servers; ++index) {
-      Json row = endpoints_.begin()->second;
-      row["uid"] = fmt::format("long-{:08x}", index);
-      row["pod_group"] = 1000 + index / 6;
-      targets.push_back(row);
-    }
-    const std::string body = Json{{"rev", rev}, {"all", true}, {"targets", targets}}.dump(4);
-    write_all(discovery_connection_.fd,
-              "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
-    constexpr int kParts = 20;
-    const std::size_t until = ending == "truncated" ? body.size() - 2 : body.size();
-    const auto began = std::chrono::steady_clock::now();
-    for (int part = 0; part < kParts; ++part) {
-      const std::size_t from = until * static_cast<std::size_t>(part) / kParts;
-      const std::size_t to = until * static_cast<std::size_t>(part + 1) / kParts;
-      write_all(discovery_connection_.fd, body.substr(from, to - from));
-      wait_for("the time of the next part", [&] {
-        return std::chrono::steady_clock::now() >=
-               began + std::chrono::milliseconds(duration_ms) * part / kParts;
-      });
-    }
-  }
-
-  void run_discovery(const std::string& verb, const std::string& rest) {
-    if (verb == "appends") {
-      return void(after_list_ = unescaped(rest));  // sent with the next response, in one segment
-    }
-    if (verb == "responds" || verb == "sends-bytes") {
-      accept_renewed_request();
-    }
-    if (verb == "oldest-responds") {  // as "responds", to the oldest poll that has been replaced
-      std::swap(discovery_connection_, replaced_discovery_.front());
-      run_discovery("responds-here", rest);
-      return std::swap(discovery_connection_, replaced_discovery_.front());
-    }
-    if (verb == "fails-polls") {
-      return fail_polls(rest);
-    }
-    if (verb == "returns-within") {
-      return return_within(rest);
-    }
-    if (verb == "receives") {
-      wait_for("a request to discovery", [&] { return request_received(); });
-      std::cout << "  "
-                << discovery_connection_.received.substr(0, discovery_connection_.received.find("\r\n"))
-                << '\n';
-      discovery_connection_.received.clear();
-    } else if (verb == "responds" || verb == "responds-here") {  // "responds 43 changes b leaving"
-      std::istringstream line(rest);
-      int rev = 0;
-      std::string kind;
-      std::string name;
-      std::string state;
-      line >> rev >> kind >> name >> state;
-      if (!state.empty()) {
-        endpoints_.at(name)["state"] = state;
-      }
-      const std::string body = endpoint_list(rev, kind == "complete", name);
-      write_all(discovery_connection_.fd,
-                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body +
-                    std::exchange(after_list_, ""));
-    } else if (verb == "responds-long") {  // "responds-long 44 4000 0 b leaving": 4000 more
-                                           // servers, indented, sent over 0 ms
-      send_long_list(rest);
-    } else if (verb == "sends-bytes") {
-      write_all(discovery_connection_.fd, unescaped(rest));
-    } else if (verb == "moves") {  // the old address stops listening, its connection stays
-      previous_discovery_ = std::exchange(discovery_connection_, {});
-      close(discovery_listener_);
-      std::string address = loopback_address(96);
-      discovery_listener_ = listen_at(address);
-      config_["discovery"] = address;
-    } else if (verb == "connection-closed") {
-      wait_for("the proxy to close the old connection", [&] {
-        pollfd at{previous_discovery_.fd, POLLIN, 0};
-        return poll(&at, 1, 0) == 1 && !read_available(previous_discovery_);
-      });
-    } else {
-      close(std::exchange(discovery_connection_.fd, -1));
-    }
-  }
-
   const std::string program_;
   Json config_;
   std::string proxy_address_, placement_path_, log_;
-  std::string after_list_;
-  int discovery_listener_ = -1, log_fd_ = -1, peer_socket_ = -1, placement_fd_ = -1;
+  int log_fd_ = -1, peer_socket_ = -1, placement_fd_ = -1;
   pid_t child_ = 0;
   int start_signal_ = 0;
   std::vector<int> flooding_clients_;
   const std::string kFloodBytes = postgres::query("SET a") + postgres::query("nonsense");
-  Connection discovery_connection_, previous_discovery_;
-  std::vector<int> trickling_discovery_;
-  std::deque<Connection> replaced_discovery_;  // older polls that are still open
   std::map<std::string, TestServer> servers_;
   std::map<std::string, Json> endpoints_;
   std::map<std::string, Connection> clients_;
+  TestDiscovery discovery_{
+      endpoints_, [] { return loopback_address(96); },
+      [this](int rev, bool complete, const std::string& only) { return endpoint_list(rev, complete, only); },
+      [this](const std::string& description, const std::function<bool()>& condition) {
+        wait_for(description, condition);
+      }};
   Crowd crowd_{servers_, [this] { return connect_to(proxy_address_); },
                [this](const std::string& description, const std::function<bool()>& condition) {
                  wait_for(description, condition);
