--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -1,4 +1,4 @@
-// The state of one client connection. Internal to client_connections.cpp and client_commands.cpp.
+// The state of one client connection. Internal to the sources of ClientConnections.
 #pragma once
 
 #include <asio.hpp>
@@ -17,6 +17,10 @@
 
 namespace reedspindle::proxy {
 
+// How many bytes are read ahead of the replies: one message of the longest type.
+constexpr std::size_t kReadAheadBytes = postgres::kMaxMessageBytes + 5;
+constexpr std::size_t kReadBytes = 2048;  // the smallest space for one read
+
 // One client connection. Owned by the list in ClientConnections; pending callbacks share the ownership.
 struct ClientConnection {
   enum class State {
--- a/src/proxy/client_connections.hpp
+++ b/src/proxy/client_connections.hpp
@@ -86,18 +86,9 @@
   void read(const ConnectionPtr& connection);
   void read_now(const ConnectionPtr& connection);
   void discard_now(const ConnectionPtr& connection);
-  static bool has_hung_up(ClientConnection& connection);
-  static bool may_hide_end(const ClientConnection& connection);
-  void check_presence(ClientConnection& connection);
-  void update_deadline(ClientConnection& connection);
-  void clear_deadline(ClientConnection& connection);
-  bool has_acted_in_time(const ConnectionPtr& connection);
-  void deadline_passed(ClientConnection& connection);
   [[nodiscard]] bool may_owe_more(const ClientConnection& connection) const;
   void handle_commands(ClientConnection& connection);
   void handle_later(ClientConnection& connection);
-  bool end_for_drain(ClientConnection& connection);
-  static std::string stopping_error();
   CommandResult handle_message(ClientConnection& connection, const postgres::Message& message);
   CommandResult handle_startup(ClientConnection& connection, const postgres::Message& message);
   CommandResult handle_query(ClientConnection& connection, std::string_view text);
@@ -109,6 +100,18 @@
   void flush(ClientConnection& connection);
   void write(ClientConnection& connection);
   void write_completed(ClientConnection& connection);
+
+  // Clients that have gone or do not go on, and closing (client_endings.cpp).
+  static bool has_hung_up(ClientConnection& connection);
+  static bool may_hide_end(const ClientConnection& connection);
+  void check_presence(ClientConnection& connection);
+  void update_deadline(ClientConnection& connection);
+  void clear_deadline(ClientConnection& connection);
+  void deadline_passed(ClientConnection& connection);
+  bool has_acted_in_time(const ConnectionPtr& connection);
+  bool end_for_drain(ClientConnection& connection);
+  static postgres::Fault stopping_fault();
+  static std::string stopping_error();
   void close_with_error(ClientConnection& connection, std::string_view code, std::string_view text);
   void close_after_replies(ClientConnection& connection);
   void begin_close(ClientConnection& connection);
