Half of the memory for open requests is kept for first requests; ids follow the class's effect

Whether a request may run several times is the effect that its class has in the settings, not whether it is a write.

The tests of proxy, codecs and operators pass.

--- a/src/config/instance_config.cpp
+++ b/src/config/instance_config.cpp
@@ -199,7 +199,8 @@
   };
   for (const auto& [name, id] : parse_names<RequestClassId>(classes, "name")) {
     config.names.request_classes[name] = {id, setting_is(id, "needs", "write"),
-                                          setting_is(id, "effect", "tokened")};
+                                          setting_is(id, "effect", "tokened"),
+                                          setting_is(id, "effect", "retryable")};
   }
   if (config.names.request_classes.empty()) {
     throw_invalid(classes.name, "at least one request class");
--- a/src/config/instance_config.hpp
+++ b/src/config/instance_config.hpp
@@ -20,6 +20,7 @@
   RequestClassId id;
   // Whether its statements are writes, and whether they carry an idempotency key.
   bool writes = false, tokened = false;
+  bool retryable = false;  // they may run several times
   bool operator==(const NamedRequestClass&) const = default;
 };
 
--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -19,8 +19,8 @@
 class Buffer {
  public:
   explicit Buffer(MemoryBudget& budget) : budget_(budget) {}
-  // Beyond a small size, the buffer may hold only a fair share of the budget, see MemoryBudget.
-  Buffer(MemoryBudget& budget, std::size_t share_divisor) : budget_(budget), share_divisor_(share_divisor) {}
+  // Beyond a small size, the buffer may hold only a fair share of the budget.
+  Buffer(MemoryBudget& budget, const FairShare& share) : budget_(budget), share_(share) {}
   ~Buffer() { budget_.release(bytes_.size()); }
   Buffer(const Buffer&) = delete;
 
@@ -74,7 +74,7 @@
 
  private:
   [[nodiscard]] bool may_hold(std::size_t size) const {
-    return !share_divisor_ || size <= kSmallSize || budget_.is_fair_share(size, *share_divisor_);
+    return !share_ || size <= kSmallSize || budget_.is_fair(size, *share_);
   }
 
   // Data that takes up less than this part of the memory is moved to a smaller part.
@@ -82,7 +82,7 @@
   // A buffer up to this size, in bytes, is enough for short messages.
   static constexpr std::size_t kSmallSize = 4096;
   MemoryBudget& budget_;
-  const std::optional<std::size_t> share_divisor_;
+  const std::optional<FairShare> share_;
   std::vector<char> bytes_;
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
--- a/src/net/memory_budget.hpp
+++ b/src/net/memory_budget.hpp
@@ -9,6 +9,14 @@
 
 namespace reedspindle::net {
 
+// What one of several owners may hold of a budget, if it holds much: at most the `divisor`-th part of what is
+// left, the reserve aside. The more of the budget is in use, the less one owner may hold: those that hold
+// most are the first that get nothing, and the reserve is for those that hold little.
+struct FairShare {
+  std::size_t divisor = 1;
+  std::size_t reserve_divisor = 1;  // the reserve is this part of the whole budget
+};
+
 // Limits the bytes that several owners hold together. Each owner releases what it has taken.
 class MemoryBudget {
  public:
@@ -23,16 +31,13 @@
   }
   void release(std::size_t bytes) { left_ += bytes; }
   [[nodiscard]] std::size_t left() const { return left_; }
-  // Returns whether an owner that holds much may hold `bytes`: at most the `divisor`-th part of what is left,
-  // a reserve aside. The more of the budget is in use, the less one owner may hold: those that hold most are
-  // the first that get nothing, and the reserve is for those that hold little.
-  [[nodiscard]] bool is_fair_share(std::size_t bytes, std::size_t divisor) const {
-    const std::size_t reserve = total_ / kReserveDivisor;
-    return left_ > reserve && bytes <= (left_ - reserve) / divisor;
+  // Returns whether an owner that holds much may hold `bytes`.
+  [[nodiscard]] bool is_fair(std::size_t bytes, const FairShare& share) const {
+    const std::size_t reserve = total_ / share.reserve_divisor;
+    return left_ > reserve && bytes <= (left_ - reserve) / share.divisor;
   }
 
  private:
-  static constexpr std::size_t kReserveDivisor = 4;
   const std::size_t total_;
   std::size_t left_;
 };
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -33,14 +33,12 @@
   // What the client has to do next, within a time limit.
   enum class Awaited { nothing, first_command, rest_of_command, reading };
 
-  // The read buffer may hold at most this part of what is left for all.
-  static constexpr std::size_t kBufferShareDivisor = 2;
+  // Of the read buffers of all connections.
+  static constexpr net::FairShare kBufferShare = {.divisor = 2, .reserve_divisor = 4};
 
   ClientConnection(asio::ip::tcp::socket accepted, net::MemoryBudget& buffers,
                    net::MemoryBudget& reply_budget)
-      : socket(std::move(accepted)),
-        buffer(buffers, kBufferShareDivisor),
-        replies(reply_budget, reply_budget) {}
+      : socket(std::move(accepted)), buffer(buffers, kBufferShare), replies(reply_budget, reply_budget) {}
 
   [[nodiscard]] bool accepts_commands() const { return state == State::starting || state == State::open; }
   static State state_of(const std::shared_ptr<ClientConnection>& connection) { return connection->state; }
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -27,8 +27,9 @@
 constexpr std::size_t kRequestRecordBytes = 1024;
 // The id of one ended request is kept for so many bytes of the memory limit: ids take up some 100 bytes each.
 constexpr std::size_t kMemoryPerEndedId = 4096;
-// The open requests of one client connection may hold at most this part of what is left for all.
-constexpr std::size_t kRequestShareDivisor = 16;
+// What the open requests of one client connection may hold. The reserve is enough for a short first request
+// on each connection that a process of the smallest size has descriptors for.
+constexpr net::FairShare kRequestShare = {.divisor = 16, .reserve_divisor = 2};
 
 postgres::Fault too_many_open() { return {"53300", "too many ops are open"}; }
 }  // namespace
@@ -278,7 +279,7 @@
                         .record = std::move(record),
                         .id = std::string(statement.id),
                         .remaining_span = statement.remaining_span,
-                        .repeatable = !named.writes && !named.tokened,
+                        .retryable = named.retryable,
                         .arrived = arrived,
                         .deadline = arrived + statement.remaining};
   request_ids_.add(statement.id);
@@ -292,8 +293,7 @@
 }
 
 bool ProxyServer::may_open_more(std::size_t requests, std::size_t text_bytes) const {
-  return requests == 0 ||
-         request_budget_.is_fair_share(requests * kRequestRecordBytes + text_bytes, kRequestShareDivisor);
+  return requests == 0 || request_budget_.is_fair(requests * kRequestRecordBytes + text_bytes, kRequestShare);
 }
 
 void ProxyServer::request_abandoned(RequestId request) {
@@ -317,7 +317,7 @@
                 {"elapsed_ms", clock_.now() - found->second.arrived}});
   }
   const Request& ended = found->second;
-  if (effect == Effect::possible && ended.attempts > 0 && !ended.repeatable) {
+  if (effect == Effect::possible && ended.attempts > 0 && !ended.retryable) {
     request_ids_.remove(ended.id, clock_.now(), ended.deadline);
   } else {
     request_ids_.remove(ended.id);
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -43,7 +43,7 @@
     net::MemoryCharge record;                      // of all that is kept besides the text
     std::string id;                                // chosen by the client
     postgres::TextSpan remaining_span;  // the place in the text that states the client's remaining time
-    bool repeatable = false;            // it may run several times
+    bool retryable = false;             // it may run several times
     int attempts = 0;
     Millis arrived = 0;   // Unix time
     Millis deadline = 0;  // Unix time; the client's
