One function for an error up to ReadyForQuery; a request's class is looked up once less

Read once more: the error and its ReadyForQuery were put together in five places of the proxy; postgres::error_reply serves all. request_arrived looked its class up twice. No change of what is sent.

--- a/src/postgres/codec.cpp
+++ b/src/postgres/codec.cpp
@@ -389,4 +389,8 @@
   return message('E', body);
 }
 
+std::string error_reply(const Fault& fault, std::string_view detail) {
+  return error(Severity::error, fault.code, fault.text, detail) + ready_for_query();
+}
+
 }  // namespace reedspindle::postgres
--- a/src/postgres/codec.hpp
+++ b/src/postgres/codec.hpp
@@ -114,5 +114,7 @@
 enum class Severity { error, fatal };
 std::string error(Severity severity, std::string_view code, std::string_view text,
                   std::string_view detail = "");
+// The reply to a command that has failed: an error up to ReadyForQuery.
+std::string error_reply(const Fault& fault, std::string_view detail = "");
 
 }  // namespace reedspindle::postgres
--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -204,7 +204,8 @@
   const std::string word = postgres::first_word(text);
   if (word.empty()) {
     if (ready_ || rejecting_) {
-      return reply(connection, ready_ ? postgres::empty_query_response() : stopping_error());
+      return reply(connection,
+                   ready_ ? postgres::empty_query_response() : postgres::error_reply(stopping_fault()));
     }
     connection.replies.add_readiness();
     return CommandResult::answered;
@@ -240,8 +241,7 @@
     close_with_error(connection, fault->code, fault->text);
     return CommandResult::answered;
   }
-  return reply(connection, postgres::error(postgres::Severity::error, fault->code, fault->text) +
-                               postgres::ready_for_query());
+  return reply(connection, postgres::error_reply(*fault));
 }
 
 ClientConnection* ClientConnections::take_request(RequestId request) {
@@ -264,8 +264,7 @@
   ClientConnection& connection = *of;
   connection.last_activity = clock_.now();
   static const std::string kReplyTooLarge =
-      postgres::error(postgres::Severity::error, "53200", "answers that wait behind others take too much") +
-      postgres::ready_for_query();
+      postgres::error_reply({"53200", "answers that wait behind others take too much"});
   connection.replies.complete(request, std::move(bytes), kReplyTooLarge);
   flush(connection);
 }
@@ -282,9 +281,7 @@
     return;
   }
   owner_.request_abandoned(open.front());
-  answer(open.front(),
-         net::ChargedText(postgres::error(postgres::Severity::error, "57014", "canceled on user request") +
-                          postgres::ready_for_query()));
+  answer(open.front(), net::ChargedText(postgres::error_reply({"57014", "canceled on user request"})));
 }
 
 ClientConnections::CommandResult ClientConnections::reply(ClientConnection& connection, std::string bytes) {
--- a/src/proxy/client_connections.cpp
+++ b/src/proxy/client_connections.cpp
@@ -284,7 +284,7 @@
   drain_timer_.reset();
   rejecting_ = true;
   for (const ConnectionPtr& connection : std::list(connections_)) {
-    connection->replies.complete_readiness(stopping_error());
+    connection->replies.complete_readiness(postgres::error_reply(stopping_fault()));
     flush(*connection);
     handle_commands(*connection);
   }
--- a/src/proxy/client_connections.hpp
+++ b/src/proxy/client_connections.hpp
@@ -111,7 +111,6 @@
   bool has_acted_in_time(const ConnectionPtr& connection);
   bool end_for_drain(ClientConnection& connection);
   static postgres::Fault stopping_fault();
-  static std::string stopping_error();
   void close_with_error(ClientConnection& connection, std::string_view code, std::string_view text);
   void close_after_replies(ClientConnection& connection);
   void begin_close(ClientConnection& connection);
--- a/src/proxy/client_endings.cpp
+++ b/src/proxy/client_endings.cpp
@@ -173,13 +173,8 @@
   return true;
 }
 
-postgres::Fault ClientConnections::stopping_fault() { return {"57P03", "the front is stopping"}; }
-
 // The answer to what arrives while this instance is stopping: it has had no effect.
-std::string ClientConnections::stopping_error() {
-  const postgres::Fault fault = stopping_fault();
-  return postgres::error(postgres::Severity::error, fault.code, fault.text) + postgres::ready_for_query();
-}
+postgres::Fault ClientConnections::stopping_fault() { return {"57P03", "the front is stopping"}; }
 
 void ClientConnections::close_with_error(ClientConnection& connection, std::string_view code,
                                          std::string_view text) {
--- a/src/proxy/decision_execution.cpp
+++ b/src/proxy/decision_execution.cpp
@@ -29,12 +29,15 @@
 
 void ProxyServer::execute(const RejectRequest& decision) {
   const std::string retry_after = decision.retry_after > 0 ? fmt::format("{:.0f}", decision.retry_after) : "";
-  complete_request(decision.request, error_answer("53300", "busy, try again", retry_after), "rejected",
-                   Effect::none);
+  complete_request(decision.request,
+                   net::ChargedText(postgres::error_reply({"53300", "busy, try again"}, retry_after)),
+                   "rejected", Effect::none);
 }
 
 void ProxyServer::execute(const FailRequest& decision) {
-  complete_request(decision.request, error_answer("58000", "no store has answered in time"), "timed out");
+  complete_request(decision.request,
+                   net::ChargedText(postgres::error_reply({"58000", "no store has answered in time"})),
+                   "timed out");
 }
 
 void ProxyServer::execute(const SetTimer& decision) {
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -261,9 +261,11 @@
   if (!record.take(kRequestRecordBytes) || !kept_text->append(text)) {
     return too_many_open();
   }
+  const config::NamedRequestClass& named =
+      config_.names.request_classes.find(statement.request_class)->second;
   RequestReceived received;
   received.request = request;
-  received.request_class = config_.names.request_classes.find(statement.request_class)->second.id;
+  received.request_class = named.id;
   received.group = {statement.group};
   received.session = statement.key;
   received.remaining = statement.remaining;
@@ -273,8 +275,6 @@
   const Millis arrived = arrival_bound_.earliest(clock_.now());
   queued_events_.push_back({std::move(received), arrived, statement.position});
   router_run_needed_ = true;
-  const config::NamedRequestClass& named =
-      config_.names.request_classes.find(statement.request_class)->second;
   requests_[request] = {.text = std::move(kept_text),
                         .record = std::move(record),
                         .id = std::string(statement.id),
@@ -286,12 +286,6 @@
   return std::nullopt;
 }
 
-net::ChargedText ProxyServer::error_answer(std::string_view code, std::string_view text,
-                                           std::string_view detail) {
-  return net::ChargedText(postgres::error(postgres::Severity::error, code, text, detail) +
-                          postgres::ready_for_query());
-}
-
 bool ProxyServer::may_open_more(std::size_t requests, std::size_t text_bytes) const {
   return requests == 0 || request_budget_.is_fair(requests * kRequestRecordBytes + text_bytes, kRequestShare);
 }
@@ -368,7 +362,8 @@
   if (completed.outcome == AttemptOutcome::acknowledged && row && row->append(postgres::ready_for_query())) {
     complete_request(completed.request, std::move(*row), "served");
   } else if (completed.outcome == AttemptOutcome::acknowledged) {
-    complete_request(completed.request, error_answer("53200", "no memory for the answer"),
+    complete_request(completed.request,
+                     net::ChargedText(postgres::error_reply({"53200", "no memory for the answer"})),
                      "answer without memory");
   }
   completed.request_completed = !requests_.contains(completed.request);
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -60,9 +60,6 @@
   [[nodiscard]] bool may_open_more(std::size_t requests, std::size_t text_bytes) const override;
   void request_abandoned(RequestId request) override;
   [[nodiscard]] std::optional<postgres::Fault> reject_reason(const postgres::Statement& statement);
-  // Encodes an error up to ReadyForQuery.
-  static net::ChargedText error_answer(std::string_view code, std::string_view text,
-                                       std::string_view detail = "");
   void handle_endpoint_list(net::EndpointList list);
   bool may_send(RequestId request, AttemptNumber attempt);
   void handle_attempt_completed(AttemptCompleted completed, std::optional<net::ChargedText> row);
